Send a request to the next owner if its own was fenced before the claim was written

Cause: an owner that finds with the write of a claim that another process has taken its partition over never dispatches that claim, yet the caller was told 'not run: fenced'.

Change: such a submission is routed again, as one that met no owner is.

Ruled out: a wrong expectation of the test (its check is unchanged); a second run of the request (the next owner reads the claim if it was written).

--- a/crates/jaycrank/src/claims.rs
+++ b/crates/jaycrank/src/claims.rs
@@ -388,7 +388,12 @@
                 let message = "the request is running; ask again with a raised attempt";
                 Err(Refusal::may_have_run(409, "running", message).with_retry_after_ms(50))
             }
-            Verdict::NotRun { reason: Reason::NotOwner | Reason::HandOver, .. }
+            // A fenced owner never dispatches a claim that was still waiting for its write, and the
+            // next owner learns of the claim if it was written.
+            Verdict::NotRun {
+                reason: Reason::NotOwner | Reason::HandOver | Reason::Fenced,
+                ..
+            }
             | Verdict::MayHaveRun { reason: Reason::NotOwner | Reason::HandOver } => {
                 Err(nothing_done())
             }
--- a/crates/jaycrank/tests/failures.rs
+++ b/crates/jaycrank/tests/failures.rs
@@ -25,6 +25,8 @@
 use jaycrank_caller::audit::Audit;
 use jaycrank_caller::client::Error;
 use jaycrank_caller::wire::Category;
+use jaycrank_claim::Commit;
+use jaycrank_claim::Owner;
 use jaycrank_operator::client::Error as Refused;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -149,6 +151,34 @@
     .await;
 }
 
+/// Guards against a refusal of a request whose owner finds out with its claim that another process
+/// has taken the partition over. Nothing was done with the submission, so the next owner runs it.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_of_a_fenced_owner_runs_at_the_next() {
+    limited(async {
+        let local = start(1, "crew-sheets").await;
+        let client = caller(&local, 0);
+        settle(&local, &client, "crew-sheets", "before").await;
+        let dump = operator(&local, 0).dump().await.unwrap();
+        let partitions = dump["claims"].as_array().unwrap().len();
+        for partition in 0..u32::try_from(partitions).unwrap() {
+            let commit = Commit::new();
+            let other = Owner::new(partition, "other", local.store().clone(), commit);
+            other.acquire().await.unwrap();
+        }
+        for number in 0..8 {
+            let request = once("crew-sheets", &format!("fenced-{number}"), 1);
+            let answer = client.query(&request).await;
+            assert!(answer.is_ok(), "{answer:?}");
+        }
+        let runs = runs(&local);
+        assert_eq!(runs.len(), 9);
+        assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+        local.shutdown().await;
+    })
+    .await;
+}
+
 /// Guards against a non-idempotent request that runs without a confirmed claim, and against
 /// idempotent queries that depend on the store.
 #[tokio::test(flavor = "multi_thread")]
