--- a/crates/policy/tests/extra.rs
+++ b/crates/policy/tests/extra.rs
@@ -11,15 +11,38 @@
 /// Steps of a window; in each step some instances get a request.
 const WINDOW: usize = 1_000;
 
+/// Steps after which an instance that starts knows all others.
+const ACQUAINTED: usize = 100;
+
 /// Pattern: every request of a service fails and is wanted again, on instances with unequal load.
 /// Guards against more extra requests in any window than the bound that all instances share.
 #[test]
 fn instances_keep_the_common_bound_in_every_window() {
-    let mut random = StdRng::seed_from_u64(3);
+    keeps_the_bound(3, None);
+}
+
+/// Pattern: the same, and all processes are killed at once and start again. Guards against fixed
+/// parts that are spent once more by the new processes, in full by each that knows no other yet.
+#[test]
+fn restart_of_all_instances_keeps_the_common_bound() {
+    for seed in 0..20 {
+        keeps_the_bound(seed, Some(1_500));
+    }
+}
+
+/// Spends all that the budgets allow, and compares each window with the common bound.
+fn keeps_the_bound(seed: u64, restart: Option<usize>) {
+    let mut random = StdRng::seed_from_u64(seed);
     let mut instances = vec![Extra::new(RATIO, FIXED, INSTANCES); INSTANCES];
     let mut requests = vec![0_u32; 5 * WINDOW];
     let mut extra = vec![0_u32; 5 * WINDOW];
     for step in 0..5 * WINDOW {
+        if restart == Some(step) {
+            instances.fill(Extra::new(RATIO, FIXED, 1));
+        }
+        if restart.is_some_and(|restart| restart + ACQUAINTED == step) {
+            instances.iter_mut().for_each(|extra| extra.configure(RATIO, FIXED, INSTANCES));
+        }
         // The load rises and falls, and the first instances get most of it.
         let load = if (step / 700) % 2 == 0 { 0.9 } else { 0.1 };
         for (at, instance) in instances.iter_mut().enumerate() {
