Obtain documents and lists of instances from the own failure domain first

An instance that starts obtains all leafs (113 KB at 868 leafs) from any other one, and each tells of up to 256 instances every 6 s, all across regions. With more than 256 instances the list held always the same ones.

Change: the first exchange asks only for other instances; documents and lists then come from the own failure domain, from others by turns while the catalog is away. Longer lists are drawn at random.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -26,6 +26,7 @@
 use jaycrank_event::event;
 use jaycrank_http::Client;
 use jaycrank_policy::connections::Fleet;
+use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -52,12 +53,13 @@
 /// the tightest deployment. Such an exchange does not wait for news: the own reader brings the same
 /// at the same moment, and each change would cross between failure domains once for each instance.
 const NEWS_INTERVAL: Duration = Duration::from_secs(1);
-/// Exchanges of which one tells of the other instances.
+/// Exchanges of which one tells of the other instances. It goes to one of the own failure domain:
+/// the lists of 300 instances were most of what crossed between regions.
 const PEERS_EVERY: u32 = 6;
 /// First exchanges of an instance, all of which tell of the others.
 const PEERS_FIRST: u32 = 6;
-/// Pause after an exchange while the catalog can't be followed, the others are not known yet, or
-/// the other instance did not answer.
+/// Pause after an exchange while the catalog can't be followed, after one that told of the other
+/// instances, and if the other instance did not answer.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Factors of a pause, so that instances that started together do not ask in step.
 const PAUSE_SPREAD: Range<f64> = 0.8..1.2;
@@ -71,7 +73,7 @@
 const MESSAGE_BYTES_MAX: usize = 4 << 20;
 /// Time after which an instance that nobody has heard of is forgotten.
 const PEER_TIME: Duration = Duration::from_secs(45);
-/// Instances that are passed on in one exchange.
+/// Instances that are passed on in one exchange, drawn at random if there are more.
 const PEERS_MAX: usize = 256;
 
 /// What the caller of an exchange knows and wants.
@@ -213,20 +215,24 @@
         if candidates.is_empty() {
             candidates.clone_from(&self.seeds);
         }
-        (!candidates.is_empty()).then(|| candidates[rand::random_range(0..candidates.len())])
+        candidates.into_iter().choose(&mut rand::rng())
     }
 
-    /// An instance to ask for all that it knows: any known one or a seed.
-    fn pick_any(&self) -> Option<SocketAddr> {
-        let known = self.lock();
-        let all: Vec<SocketAddr> = known.keys().chain(&self.seeds).copied().collect();
-        (!all.is_empty()).then(|| all[rand::random_range(0..all.len())])
+    /// An instance to ask for all that it knows: one of the own failure domain, or any known one or
+    /// seed.
+    fn pick_any(&self, near_first: bool) -> Option<SocketAddr> {
+        let mut candidates = if near_first { self.near() } else { Vec::new() };
+        if candidates.is_empty() {
+            candidates = self.lock().keys().chain(&self.seeds).copied().collect();
+        }
+        candidates.into_iter().choose(&mut rand::rng())
     }
 
     fn list(&self) -> Vec<(SocketAddr, SmolStr, u64)> {
         let now = Instant::now();
         let known = self.lock();
-        let listed = known.iter().take(PEERS_MAX).map(|(address, peer)| {
+        let listed = known.iter().sample(&mut rand::rng(), PEERS_MAX).into_iter();
+        let listed = listed.map(|(address, peer)| {
             let age = now.duration_since(peer.heard).as_millis() as u64;
             (*address, peer.failure_domain.clone(), age)
         });
@@ -370,13 +376,22 @@
     let mut count = 0;
     loop {
         let lost = contact.is_lost() || !gateway.table().is_complete();
-        let Some(peer) = (if lost { peers.pick_any() } else { peers.pick() }) else {
+        let tell_peers = count < PEERS_FIRST || count.is_multiple_of(PEERS_EVERY);
+        // The first answer tells of instances nearby, from which documents and lists cost less.
+        let documents = count > 0;
+        let odd = count % 2 == 1;
+        let picked = match (lost, tell_peers) {
+            (true, _) => peers.pick_any(odd),
+            (false, true) => peers.pick_any(true),
+            (false, false) => peers.pick(),
+        };
+        let Some(peer) = picked else {
             sleep(PAUSE).await;
             continue;
         };
         let client = clients.entry(peer).or_insert_with(|| client(peer));
-        let tell_peers = lost || count < PEERS_FIRST || count.is_multiple_of(PEERS_EVERY);
-        let answered = ask_one(&gateway, &peers, client, tell_peers).await;
+        let wanted = ask_for(&gateway, &peers, documents, tell_peers);
+        let answered = ask_one(&gateway, &peers, client, &wanted).await;
         if !answered {
             clients.remove(&peer);
         }
@@ -384,28 +399,37 @@
         gateway.table().set_fleet(fleet);
         gateway.extra().set_instances(fleet.all);
         count += 1;
-        let soon = lost || !answered || count < PEERS_FIRST;
+        if answered && !documents {
+            continue;
+        }
+        let soon = lost || !answered || tell_peers;
         let pause = if soon { PAUSE } else { NEWS_INTERVAL };
         sleep(pause.mul_f64(rand::random_range(PAUSE_SPREAD))).await;
     }
 }
 
-/// Exchanges knowledge with one instance; returns whether it answered.
-async fn ask_one(gateway: &Gateway, peers: &Peers, client: &Client, tell_peers: bool) -> bool {
+/// What this instance asks another one.
+fn ask_for(gateway: &Gateway, peers: &Peers, documents: bool, tell_peers: bool) -> Question {
     let table = gateway.table();
-    let wanted = Question {
+    let version = match table.active() {
+        Some(active) => Wanted::After(active.version()),
+        None => Wanted::All,
+    };
+    Question {
         from: peers.own,
         failure_domain: peers.failure_domain.clone(),
-        version: match table.active() {
-            Some(active) => Wanted::After(active.version()),
-            None => Wanted::All,
-        },
-        revision: Wanted::After(table.heard()),
+        version: if documents { version } else { Wanted::Nothing },
+        revision: if documents { Wanted::After(table.heard()) } else { Wanted::Nothing },
         wait_ms: 0,
         peers: tell_peers,
-    };
+    }
+}
+
+/// Exchanges knowledge with one instance; returns whether it answered.
+async fn ask_one(gateway: &Gateway, peers: &Peers, client: &Client, wanted: &Question) -> bool {
+    let table = gateway.table();
     // One that does not answer is asked again in its turn; others may know as much.
-    let Ok(knowledge) = question(client, &wanted).await else { return false };
+    let Ok(knowledge) = question(client, wanted).await else { return false };
     for (address, failure_domain, age_ms) in knowledge.peers {
         peers.hear(address, failure_domain, Duration::from_millis(age_ms));
     }
