Pause between lists that lag behind a dropped history

Cause: found with a new fault of the soak, a store whose lists lag behind after its history is dropped. A watch from such a list expires at once, and the next list follows without a pause: 456,922 calls in a second over a stand-in in memory; each call is priced on the platform.

Change: an expired watch right after a list waits like a failed call.

Test: gateway/follow lists_that_lag_behind_a_dropped_history_are_repeated_slowly (456,922 calls before, bound 40).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Keeps the table up to date with the catalog.
 
+use std::ops::Range;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -35,6 +36,8 @@
 const RETRY_PAUSE_MIN: Duration = Duration::from_millis(150);
 /// Longest pause after a failed call.
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// Factors of a pause, so that instances that lost the catalog together do not ask in step.
+const RETRY_SPREAD: Range<f64> = 0.7..1.3;
 /// Longest pause while the instance can't serve.
 const START_PAUSE_MAX: Duration = Duration::from_millis(200);
 
@@ -164,6 +167,8 @@
 async fn run(gateway: &Gateway, feed: impl Feed) {
     let mut revision = None;
     let mut pause = RETRY_PAUSE_MIN;
+    // Whether the last answer was a list.
+    let mut listed = false;
     loop {
         // After an outage a list is quicker than a watch to tell what still stands.
         let known = revision.filter(|_| !feed.lost().load(Ordering::Relaxed));
@@ -175,7 +180,10 @@
         gateway.metrics().catalog_call(feed.kind(), outcome);
         match called {
             Ok(listing) => {
-                pause = RETRY_PAUSE_MIN;
+                listed = known.is_none();
+                if !listed {
+                    pause = RETRY_PAUSE_MIN;
+                }
                 regain(gateway, &feed, listing.revision);
                 let quiet = listing.items.is_empty();
                 revision = Some(listing.revision);
@@ -188,10 +196,16 @@
                     }
                 }
             }
-            Err(Error::Expired) => revision = None,
+            // The history was dropped, and a list tells what stands now.
+            Err(Error::Expired) if !listed => revision = None,
+            // Lists lag behind the dropped history, or the call failed.
             Err(error) => {
-                lose(&feed, &error);
-                sleep(pause.mul_f64(rand::random_range(0.7..1.3))).await;
+                if error == Error::Expired {
+                    revision = None;
+                } else {
+                    lose(&feed, &error);
+                }
+                sleep(pause.mul_f64(rand::random_range(RETRY_SPREAD))).await;
                 let serving = gateway.table().is_complete();
                 pause = (pause * 2).min(if serving { RETRY_PAUSE_MAX } else { START_PAUSE_MAX });
             }
--- a/crates/gateway/tests/follow.rs
+++ b/crates/gateway/tests/follow.rs
@@ -40,3 +40,28 @@
         assert!(started.elapsed() <= IN_FORCE, "after {after_ms} ms: {:?}", started.elapsed());
     }
 }
+
+/// Pattern: the history of the store is dropped while its lists lag behind, so that each watch from
+/// a list has expired. Guards against lists and watches in turn without a pause, each a priced call.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lists_that_lag_behind_a_dropped_history_are_repeated_slowly() {
+    /// Two calls for each kind and pause, with the shortest pause of 150 ms less its spread.
+    const CALLS_MAX: u64 = 2 * 2 * 10;
+    let catalog = Arc::new(Catalog::new());
+    catalog.put_config(config(1, "db", &[]));
+    let gateway = Arc::new(Gateway::new(&options(None, Vec::new())).unwrap());
+    let contact = Arc::new(Contact::default());
+    let following = tokio::spawn(follow(gateway.clone(), catalog.clone(), contact));
+    sleep(Duration::from_millis(200)).await;
+    catalog.set_lag(1);
+    catalog.compact();
+    catalog.put_config(config(2, "db", &[]));
+    catalog.set_lag(2);
+    catalog.compact();
+    let before = catalog.calls();
+    sleep(Duration::from_secs(1)).await;
+    let calls = catalog.calls() - before;
+    following.abort();
+    assert!(calls <= CALLS_MAX, "{calls} calls in a second");
+    assert_eq!(gateway.table().active().unwrap().version(), 2);
+}
--- a/crates/standin/src/catalog.rs
+++ b/crates/standin/src/catalog.rs
@@ -17,6 +17,7 @@
 use jaycrank_gateway::catalog::Stored;
 use jaycrank_gateway::config::Config;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout_at;
@@ -36,11 +37,20 @@
     /// Changes up to this revision can no longer be watched.
     forgotten: Revision,
     down: bool,
+    /// Revisions by which lists are behind.
+    lag: Revision,
     /// Watches that began before this moment are never answered.
     silenced: Option<Instant>,
     calls: u64,
 }
 
+impl State {
+    /// Revision that a list tells.
+    fn listed(&self) -> Revision {
+        self.revision.saturating_sub(self.lag)
+    }
+}
+
 impl Default for Catalog {
     fn default() -> Self {
         Self { state: Mutex::default(), changed: watch::channel(()).0 }
@@ -100,6 +110,11 @@
         state.forgotten = state.revision;
     }
 
+    /// Lets lists tell a revision that is `lag` behind.
+    pub fn set_lag(&self, lag: Revision) {
+        self.lock().lag = lag;
+    }
+
     /// Calls that were made.
     pub fn calls(&self) -> u64 {
         self.lock().calls
@@ -154,9 +169,10 @@
 #[async_trait]
 impl jaycrank_gateway::Catalog for Catalog {
     async fn config(&self, _time: Duration) -> Result<Listing<Stored>> {
+        yield_now().await;
         let state = self.call()?;
         let items = state.config.iter().map(|(config, _)| Ok(config.clone())).collect();
-        Ok(Listing { items, revision: state.revision })
+        Ok(Listing { items, revision: state.listed() })
     }
 
     async fn watch_config(
@@ -173,10 +189,11 @@
     }
 
     async fn leafs(&self, _time: Duration) -> Result<Listing<Item>> {
+        yield_now().await;
         let state = self.call()?;
         let listed = state.leafs.values().map(|(item, _)| item.clone());
         let items = listed.filter(|item| !matches!(item, Item::Removed(_))).collect();
-        Ok(Listing { items, revision: state.revision })
+        Ok(Listing { items, revision: state.listed() })
     }
 
     async fn watch_leafs(
