--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -9,15 +9,15 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
-use serde::Serialize;
 use smol_str::SmolStr;
 use tokio::sync::watch;
 
 use crate::answer::Reply;
-use crate::catalog::Entry;
-use crate::config::Version;
 use crate::follow::Contact;
 use crate::gateway::Gateway;
+use crate::report::DUMP_PATH;
+use crate::report::Dump;
+use crate::report::Seen;
 use crate::server::Handler;
 use crate::server::Phase;
 
@@ -49,50 +49,37 @@
     }
 }
 
-/// State of a gateway, as JSON.
-#[derive(Debug, Serialize)]
-struct Dump {
-    version: Option<Version>,
-    revision: u64,
-    catalog_lost: bool,
-    processor_delay_us: u128,
-    requests: usize,
-    leafs: Vec<Seen>,
-}
-
-/// A leaf as this instance sees it.
-#[derive(Debug, Serialize)]
-struct Seen {
-    entry: Entry,
-    in_flight: usize,
-    failures: u32,
-}
-
 /// Serves `/metrics` and `/dump`.
 pub struct Admin {
+    name: SmolStr,
     gateway: Arc<Gateway>,
     contact: Arc<Contact>,
 }
 
 impl Admin {
-    /// Serves the state of `gateway`.
-    pub fn new(gateway: Arc<Gateway>, contact: Arc<Contact>) -> Self {
-        Self { gateway, contact }
+    /// Serves the state of `gateway`, the instance `name`.
+    pub fn new(name: SmolStr, gateway: Arc<Gateway>, contact: Arc<Contact>) -> Self {
+        Self { name, gateway, contact }
     }
 
     fn dump(&self) -> Dump {
         let table = self.gateway.table();
         let leafs = table.leafs().into_iter().map(|leaf| {
             let entry = leaf.entry();
+            let state = <&str>::from(leaf.presence()).into();
             let observed = leaf.observed();
-            Seen { entry, in_flight: observed.in_flight(), failures: observed.failures() }
+            Seen { entry, state, in_flight: observed.in_flight(), failures: observed.failures() }
         });
+        let delay = self.gateway.gate().delay().as_micros();
         Dump {
+            name: self.name.clone(),
             version: table.active().map(|active| active.version()),
             revision: table.revision(),
             catalog_lost: self.contact.is_lost(),
-            processor_delay_us: self.gateway.gate().delay().as_micros(),
+            processor_delay_us: u64::try_from(delay).unwrap_or(u64::MAX),
             requests: self.gateway.gate().admitted(),
+            outcomes: self.gateway.metrics().outcomes(),
+            budgets: self.gateway.extra().all(),
             leafs: leafs.collect(),
         }
     }
@@ -103,7 +90,7 @@
     async fn handle(&self, request: Request<Incoming>, _first: bool) -> Reply {
         let body = match request.uri().path() {
             "/metrics" => self.gateway.metrics().scrape().map_err(|error| error.to_string()),
-            "/dump" => serde_json::to_string(&self.dump()).map_err(|error| error.to_string()),
+            DUMP_PATH => serde_json::to_string(&self.dump()).map_err(|error| error.to_string()),
             _ => return text(StatusCode::NOT_FOUND, String::new()),
         };
         match body {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -141,6 +141,12 @@
         self.with(service, |extra| extra.tokens())
     }
 
+    /// Tokens of all services that were asked.
+    pub fn all(&self) -> BTreeMap<SmolStr, f64> {
+        let state = self.lock();
+        state.services.iter().map(|(service, extra)| (service.clone(), extra.tokens())).collect()
+    }
+
     fn with<T>(&self, service: &SmolStr, act: impl FnOnce(&mut Extra) -> T) -> T {
         let mut state = self.lock();
         let Budgets { ratio, fixed, instances, services } = &mut *state;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,7 +9,7 @@
 //! What the gateway knows comes from a [`Catalog`]: the routes and the entries of leafs.
 //! [`follow`] keeps the [`table`] of both up to date, and [`peer`] passes them among instances
 //! that can't reach the catalog. Header names are settings ([`header::Names`]), so that a gateway
-//! fits the conventions of the leafs around it.
+//! fits the conventions of the leafs around it. [`report`] describes a running fleet.
 //!
 //! ```
 //! use jaycrank_gateway::header::Names;
@@ -33,6 +33,7 @@
 pub mod pool;
 pub mod query;
 pub mod relay;
+pub mod report;
 pub mod request;
 pub mod run;
 pub mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,8 @@
 //! Counters and latency histograms of the gateway.
 
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use jaycrank_metric::Error;
@@ -7,6 +10,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
+use smol_str::SmolStr;
 
 /// Bounds of the latency histogram, in seconds.
 const LATENCY_BOUNDS_S: [f64; 12] =
@@ -21,6 +25,8 @@
     catalog_calls: Counter<u64>,
     exchanged: Counter<u64>,
     latency: Histogram<f64>,
+    /// Requests by outcome, for the state dump.
+    outcomes: Mutex<BTreeMap<&'static str, u64>>,
 }
 
 impl Metrics {
@@ -54,16 +60,36 @@
             .with_description("Time from the arrival of a request to its answer")
             .with_boundaries(LATENCY_BOUNDS_S.to_vec())
             .build();
-        Ok(Self { registry, requests, resent, catalog_calls, exchanged, latency })
+        Ok(Self {
+            registry,
+            requests,
+            resent,
+            catalog_calls,
+            exchanged,
+            latency,
+            outcomes: Mutex::default(),
+        })
     }
 
     /// Counts a request and the time that its answer took.
     pub fn request(&self, route: &str, outcome: &'static str, time: Duration) {
+        *self
+            .outcomes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .entry(outcome)
+            .or_default() += 1;
         let route = KeyValue::new("route", route.to_owned());
         self.latency.record(time.as_secs_f64(), std::slice::from_ref(&route));
         self.requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
     }
 
+    /// Requests since the start, by outcome.
+    pub fn outcomes(&self) -> BTreeMap<SmolStr, u64> {
+        let outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
+        outcomes.iter().map(|(outcome, count)| ((*outcome).into(), *count)).collect()
+    }
+
     /// Counts a request that is sent to one more leaf.
     pub fn resent(&self, cause: &'static str) {
         self.resent.add(1, &[KeyValue::new("cause", cause)]);
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -91,7 +91,7 @@
         let (address, connections) =
             server::listen(options.listen, callers, phases.clone()).await?;
         if let Some(listen) = options.admin_listen {
-            let admin = Admin::new(gateway.clone(), contact.clone());
+            let admin = Admin::new(options.name.clone(), gateway.clone(), contact.clone());
             server::listen(listen, Arc::new(admin), phases.clone()).await?;
         }
         let mut tasks =
--- /dev/null
+++ b/crates/gateway/tests/report.rs
@@ -0,0 +1,103 @@
+//! The overview of a running fleet.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::call;
+use common::config;
+use common::entry;
+use common::eventually;
+use common::get;
+use common::options;
+use jaycrank_gateway::catalog::Entry;
+use jaycrank_gateway::report;
+use jaycrank_gateway::report::Answer;
+use jaycrank_gateway::report::Dump;
+use jaycrank_gateway::report::Seen;
+use jaycrank_gateway::shutdown::Instance;
+use jaycrank_standin::Catalog;
+use jaycrank_standin::Server;
+use smol_str::SmolStr;
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 9_000 + number))
+}
+
+fn dump(name: &str, version: Option<u64>, leafs: &[(&str, u32)]) -> Dump {
+    let entry = |at: usize| Entry {
+        id: SmolStr::from(format!("leaf-{at}")),
+        service: "db".into(),
+        address: address(at as u16),
+        failure_domain: "a".into(),
+        slots: 3,
+        state: jaycrank_gateway::catalog::State::Ready,
+        cold: Duration::ZERO,
+        started_ms: 1,
+        sequence: 1,
+    };
+    let seen = leafs.iter().enumerate().map(|(at, (state, failures))| Seen {
+        entry: entry(at),
+        state: (*state).into(),
+        in_flight: 2,
+        failures: *failures,
+    });
+    Dump {
+        name: name.into(),
+        version,
+        revision: 40,
+        catalog_lost: version.is_none(),
+        processor_delay_us: 1_250,
+        requests: 7,
+        outcomes: BTreeMap::from([("complete".into(), 900), ("not-started".into(), 3)]),
+        budgets: BTreeMap::from([("db".into(), 5.5), ("orders".into(), 0.25)]),
+        leafs: seen.collect(),
+    }
+}
+
+/// Guards against an overview that hides an instance that differs from the others: an older
+/// version, a lost catalog, an empty budget, leafs that fail, or no answer at all.
+#[test]
+fn an_overview_shows_which_instance_differs() {
+    let fleet: BTreeMap<SocketAddr, Answer> = BTreeMap::from([
+        (address(1), Ok(dump("front-1", Some(12), &[("listed", 0), ("listed", 3)]))),
+        (address(2), Ok(dump("front-2", Some(11), &[("listed", 0), ("draining", 0)]))),
+        (address(3), Ok(dump("front-3", None, &[("lapsed", 1)]))),
+        (address(4), Err("connection refused".into())),
+    ]);
+    insta::assert_snapshot!(report::overview(&fleet));
+}
+
+/// Guards against a dump that does not tell what a running instance does.
+#[tokio::test]
+async fn a_dump_tells_what_an_instance_does() {
+    let server = Server::start("one").await.unwrap();
+    let catalog = std::sync::Arc::new(Catalog::new());
+    catalog.put_config(config(4, "db", &[]));
+    catalog.put_leaf(entry(&server, "db"));
+    let listener = std::net::TcpListener::bind(common::ANY).unwrap();
+    let admin = listener.local_addr().unwrap();
+    drop(listener);
+    let mut options = options(None, Vec::new());
+    options.admin_listen = Some(admin);
+    let instance = Instance::start(options, catalog).await.unwrap();
+    eventually("it serves", || instance.gateway().table().is_complete()).await;
+    assert_eq!(call(instance.address(), &get("/read/", "r")).await.body, b"one");
+    let dump = report::fetch(admin).await.unwrap();
+    assert_eq!((dump.name.as_str(), dump.version), ("instance", Some(4)));
+    assert_eq!(dump.outcomes, BTreeMap::from([("complete".into(), 1)]));
+    assert_eq!(dump.leafs.len(), 1);
+    assert_eq!(dump.leafs[0].state, "listed");
+}
+
+/// Guards against an instance that is missing from the overview because it does not answer.
+#[tokio::test]
+async fn an_instance_that_is_gone_is_said_to_be() {
+    let listener = std::net::TcpListener::bind(common::ANY).unwrap();
+    let gone = listener.local_addr().unwrap();
+    drop(listener);
+    let fleet = BTreeMap::from([(gone, report::fetch(gone).await)]);
+    assert!(report::overview(&fleet).contains("no answer"));
+}
--- a/crates/jaycrank/src/command.rs
+++ b/crates/jaycrank/src/command.rs
@@ -18,6 +18,7 @@
 use crate::flags;
 use crate::flags::Flag;
 use crate::flags::Flags;
+use crate::fleet;
 use crate::local::Local;
 use crate::local::Trial;
 use crate::standins;
@@ -144,6 +145,7 @@
         "config" => administer::config(arguments).await,
         "status" => administer::status(arguments).await,
         "dump" => administer::dump(arguments).await,
+        "fleet" => fleet::run(arguments).await,
         "fairness" => administer::fairness(arguments).await,
         "help" | "--help" | "-h" => print(&help()),
         "--version" | "-V" => print(&format!("jaycrank {}", env!("CARGO_PKG_VERSION"))),
@@ -170,6 +172,7 @@
        config    read and edit settings: get, put, remove, log, validate\n  \
        status    print the state of an instance and its peers\n  \
        dump      print the whole state of an instance\n  \
+       fleet     print an overview of running gateways\n  \
        fairness  print what each member asked for and received\n  \
        help      print this text\n\n\
      `jaycrank SUBCOMMAND --help` lists the flags. Each flag has an environment variable."
--- /dev/null
+++ b/crates/jaycrank/src/fleet.rs
@@ -0,0 +1,50 @@
+//! The subcommand `fleet`: an overview of running gateways.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use jaycrank_gateway::report;
+use tokio::time::sleep;
+
+use crate::command::Error;
+use crate::command::address;
+use crate::command::parse;
+use crate::command::print;
+use crate::flags::Flag;
+
+/// Flags of `jaycrank fleet`.
+const FLEET: [Flag; 1] = [Flag {
+    name: "every-s",
+    value: "SECONDS",
+    default: Some("0"),
+    help: "repeat the overview after this time, 0 to print it once",
+}];
+
+/// Prints an overview of the gateways at the addresses that are given, once or again and again.
+///
+/// # Errors
+///
+/// [`Error::Usage`] for wrong arguments. An instance that does not answer is part of the overview.
+pub async fn run(arguments: Vec<OsString>) -> Result<(), Error> {
+    let Some(flags) = parse(&FLEET, arguments, "fleet ADDRESS...")? else { return Ok(()) };
+    let addresses: Result<Vec<SocketAddr>, Error> =
+        flags.arguments().iter().map(|text| address(text)).collect();
+    let addresses = addresses?;
+    if addresses.is_empty() {
+        return Err(Error::Usage("the addresses for metrics must be given".to_owned()));
+    }
+    let every: u64 = flags.value("every-s", "a number of seconds", |_| true)?;
+    loop {
+        let answers = join_all(addresses.iter().map(|address| report::fetch(*address))).await;
+        let fleet: BTreeMap<SocketAddr, report::Answer> =
+            addresses.iter().copied().zip(answers).collect();
+        print(&report::overview(&fleet))?;
+        if every == 0 {
+            return Ok(());
+        }
+        sleep(Duration::from_secs(every)).await;
+    }
+}
--- a/crates/jaycrank/src/lib.rs
+++ b/crates/jaycrank/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dispatch;
 pub mod dump;
 pub mod flags;
+pub mod fleet;
 pub mod follow;
 pub mod head;
 pub mod ledger;
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -29,7 +29,8 @@
 }
 
 /// State of one leaf's entry.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
 pub enum Presence {
     /// The entry stands.
     Listed,
