Share one client of JSON interfaces between callers and operators

Cause: the clients of both peers held the same 40 lines: a token, a request in JSON, and a reply that is an answer or a refusal with its status.

Change: jaycrank_http::json::Client; each peer keeps its own error, into which that of the transport turns. The status of a refusal and the categories are as they were.

Tests: those of both peers and of the tier, unchanged.

--- a/crates/caller/src/client.rs
+++ b/crates/caller/src/client.rs
@@ -4,12 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
-use serde::de::DeserializeOwned;
+use hyper::Method;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 
 use crate::wire::Answer;
 use crate::wire::Category;
@@ -56,17 +52,30 @@
 
 impl std::error::Error for Error {}
 
+impl From<jaycrank_http::Error> for Error {
+    fn from(error: jaycrank_http::Error) -> Self {
+        match error {
+            jaycrank_http::Error::NotSent(cause) => Self::NotSent(cause),
+            jaycrank_http::Error::Lost(cause) => Self::Lost(cause),
+        }
+    }
+}
+
+/// Adds the status, which is not part of its body, to a refusal.
+fn refused((status, refusal): (u16, Refusal)) -> Error {
+    Error::Refused(Refusal { status, ..refusal })
+}
+
 /// Client of one entry instance, with the token of one member.
 #[derive(Debug)]
 pub struct Client {
-    http: jaycrank_http::Client,
-    token: SmolStr,
+    http: jaycrank_http::json::Client,
 }
 
 impl Client {
     /// Creates a client without connections.
     pub fn new(address: SocketAddr, token: impl Into<SmolStr>) -> Self {
-        Self { http: jaycrank_http::Client::new(address), token: token.into() }
+        Self { http: jaycrank_http::json::Client::new(address, token) }
     }
 
     /// Sends a query and waits for the answer.
@@ -75,9 +84,8 @@
     ///
     /// See [`Error`]; its category tells whether the request may have run.
     pub async fn query(&self, query: &Query) -> Result<Answer, Error> {
-        let body = serde_json::to_vec(query).map_err(not_sent)?;
         let time = Duration::from_millis(query.deadline_ms).saturating_add(GRACE);
-        self.call(Request::post("/query"), body, time).await
+        self.http.send(Method::POST, "/query", query, time).await?.map_err(refused)
     }
 
     /// Reads the published counts of all members.
@@ -86,40 +94,6 @@
     ///
     /// See [`Error`].
     pub async fn fairness(&self) -> Result<Fairness, Error> {
-        self.call(Request::get("/fairness"), Vec::new(), GRACE).await
+        self.http.get("/fairness", GRACE).await?.map_err(refused)
     }
-
-    async fn call<T: DeserializeOwned>(
-        &self,
-        request: hyper::http::request::Builder,
-        body: Vec<u8>,
-        time: Duration,
-    ) -> Result<T, Error> {
-        let request = request
-            .header("host", "jaycrank")
-            .header("authorization", format!("Bearer {}", self.token))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(not_sent)?;
-        let response = self.http.call(request, time).await.map_err(|error| match error {
-            jaycrank_http::Error::NotSent(cause) => Error::NotSent(cause),
-            jaycrank_http::Error::Lost(cause) => Error::Lost(cause),
-        })?;
-        let status = response.status().as_u16();
-        if status == 200 {
-            return serde_json::from_slice(response.body()).map_err(lost);
-        }
-        let mut refusal: Refusal = serde_json::from_slice(response.body()).map_err(lost)?;
-        refusal.status = status;
-        Err(Error::Refused(refusal))
-    }
-}
-
-#[cold]
-fn not_sent(error: impl fmt::Display) -> Error {
-    Error::NotSent(format_smolstr!("{error}"))
-}
-
-#[cold]
-fn lost(error: impl fmt::Display) -> Error {
-    Error::Lost(format_smolstr!("{error}"))
 }
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -4,15 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::Method;
-use hyper::Request;
 use jaycrank_settings::Tree;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 
 use crate::wire::Accepted;
 use crate::wire::Category;
@@ -59,17 +55,30 @@
 
 impl std::error::Error for Error {}
 
+impl From<jaycrank_http::Error> for Error {
+    fn from(error: jaycrank_http::Error) -> Self {
+        match error {
+            jaycrank_http::Error::NotSent(cause) => Self::NotSent(cause),
+            jaycrank_http::Error::Lost(cause) => Self::Lost(cause),
+        }
+    }
+}
+
+/// Adds the status, which is not part of its body, to a refusal.
+fn refused((status, refusal): (u16, Refusal)) -> Error {
+    Error::Refused(Refusal { status, ..refusal })
+}
+
 /// Client of one instance, with the token of one operator.
 #[derive(Debug)]
 pub struct Client {
-    http: jaycrank_http::Client,
-    token: SmolStr,
+    http: jaycrank_http::json::Client,
 }
 
 impl Client {
     /// Creates a client without connections.
     pub fn new(address: SocketAddr, token: impl Into<SmolStr>) -> Self {
-        Self { http: jaycrank_http::Client::new(address), token: token.into() }
+        Self { http: jaycrank_http::json::Client::new(address, token) }
     }
 
     /// Reads the settings in force.
@@ -87,9 +96,8 @@
     ///
     /// See [`Error`]; its category tells whether the edit may have been applied.
     pub async fn put(&self, path: &str, put: &Put) -> Result<Accepted, Error> {
-        let body = serde_json::to_vec(put).map_err(not_sent)?;
         let uri = if path.is_empty() { "/config".to_owned() } else { format!("/config/{path}") };
-        self.call(Method::PUT, &uri, body).await
+        self.http.send(Method::PUT, &uri, put, TIME).await?.map_err(refused)
     }
 
     /// Reads the last accepted edits.
@@ -107,8 +115,7 @@
     ///
     /// See [`Error`].
     pub async fn validate(&self, tree: &Tree) -> Result<Valid, Error> {
-        let body = serde_json::to_vec(tree).map_err(not_sent)?;
-        self.call(Method::POST, "/config/validate", body).await
+        self.http.send(Method::POST, "/config/validate", tree, TIME).await?.map_err(refused)
     }
 
     /// Reads the state of the instance and its peers.
@@ -139,42 +146,6 @@
     }
 
     async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Error> {
-        self.call(Method::GET, path, Vec::new()).await
+        self.http.get(path, TIME).await?.map_err(refused)
     }
-
-    async fn call<T: DeserializeOwned>(
-        &self,
-        method: Method,
-        path: &str,
-        body: Vec<u8>,
-    ) -> Result<T, Error> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "jaycrank")
-            .header("authorization", format!("Bearer {}", self.token))
-            .body(Full::new(Bytes::from(body)))
-            .map_err(not_sent)?;
-        let response = self.http.call(request, TIME).await.map_err(|error| match error {
-            jaycrank_http::Error::NotSent(cause) => Error::NotSent(cause),
-            jaycrank_http::Error::Lost(cause) => Error::Lost(cause),
-        })?;
-        let status = response.status().as_u16();
-        if status == 200 {
-            return serde_json::from_slice(response.body()).map_err(lost);
-        }
-        let mut refusal: Refusal = serde_json::from_slice(response.body()).map_err(lost)?;
-        refusal.status = status;
-        Err(Error::Refused(refusal))
-    }
-}
-
-#[cold]
-fn not_sent(error: impl fmt::Display) -> Error {
-    Error::NotSent(format_smolstr!("{error}"))
-}
-
-#[cold]
-fn lost(error: impl fmt::Display) -> Error {
-    Error::Lost(format_smolstr!("{error}"))
 }
