--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -370,28 +370,59 @@
     peers.into_iter().map(|(address, _)| *address).collect()
 }
 
+/// Which instance the next exchange goes to, and what for.
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    /// Exchanges before this one.
+    count: u32,
+    /// Whether the catalog can't be followed, or nothing is known yet.
+    lost: bool,
+}
+
+impl Turn {
+    /// Whether the answer should tell of other instances.
+    fn wants_peers(self) -> bool {
+        self.count < PEERS_FIRST || self.count.is_multiple_of(PEERS_EVERY)
+    }
+
+    /// Whether the answer should hold configuration and leafs. The first one tells of instances
+    /// nearby, from which these cost less.
+    fn wants_documents(self) -> bool {
+        self.count > 0
+    }
+
+    /// An instance to ask. Without the catalog, one nearby and any one are asked by turns.
+    fn pick(self, peers: &Peers) -> Option<SocketAddr> {
+        match (self.lost, self.wants_peers()) {
+            (true, _) => peers.pick_any(self.count % 2 == 1),
+            (false, true) => peers.pick_any(true),
+            (false, false) => peers.pick(),
+        }
+    }
+
+    /// Pause after the exchange.
+    fn pause(self, answered: bool) -> Duration {
+        if answered && !self.wants_documents() {
+            return Duration::ZERO;
+        }
+        let soon = self.lost || !answered || self.wants_peers();
+        let pause = if soon { PAUSE } else { NEWS_INTERVAL };
+        pause.mul_f64(rand::random_range(PAUSE_SPREAD))
+    }
+}
+
 /// Asks other instances in turn until it is aborted.
 pub async fn ask(gateway: Arc<Gateway>, peers: Arc<Peers>, contact: Arc<Contact>) {
     let mut clients: BTreeMap<SocketAddr, Client> = BTreeMap::new();
     let mut count = 0;
     loop {
-        let lost = contact.is_lost() || !gateway.table().is_complete();
-        let tell_peers = count < PEERS_FIRST || count.is_multiple_of(PEERS_EVERY);
-        // The first answer tells of instances nearby, from which documents and lists cost less.
-        let documents = count > 0;
-        let odd = count % 2 == 1;
-        let picked = match (lost, tell_peers) {
-            (true, _) => peers.pick_any(odd),
-            (false, true) => peers.pick_any(true),
-            (false, false) => peers.pick(),
-        };
-        let Some(peer) = picked else {
+        let turn = Turn { count, lost: contact.is_lost() || !gateway.table().is_complete() };
+        let Some(peer) = turn.pick(&peers) else {
             sleep(PAUSE).await;
             continue;
         };
         let client = clients.entry(peer).or_insert_with(|| client(peer));
-        let wanted = ask_for(&gateway, &peers, documents, tell_peers);
-        let answered = ask_one(&gateway, &peers, client, &wanted).await;
+        let answered = ask_one(&gateway, &peers, client, &ask_for(&gateway, &peers, turn)).await;
         if !answered {
             clients.remove(&peer);
         }
@@ -399,17 +430,13 @@
         gateway.table().set_fleet(fleet);
         gateway.extra().set_instances(fleet.all);
         count += 1;
-        if answered && !documents {
-            continue;
-        }
-        let soon = lost || !answered || tell_peers;
-        let pause = if soon { PAUSE } else { NEWS_INTERVAL };
-        sleep(pause.mul_f64(rand::random_range(PAUSE_SPREAD))).await;
+        sleep(turn.pause(answered)).await;
     }
 }
 
 /// What this instance asks another one.
-fn ask_for(gateway: &Gateway, peers: &Peers, documents: bool, tell_peers: bool) -> Question {
+fn ask_for(gateway: &Gateway, peers: &Peers, turn: Turn) -> Question {
+    let documents = turn.wants_documents();
     let table = gateway.table();
     let version = match table.active() {
         Some(active) => Wanted::After(active.version()),
@@ -421,7 +448,7 @@
         version: if documents { version } else { Wanted::Nothing },
         revision: if documents { Wanted::After(table.heard()) } else { Wanted::Nothing },
         wait_ms: 0,
-        peers: tell_peers,
+        peers: turn.wants_peers(),
     }
 }
 
