Tidy a lock of the metrics and the message about a wrong address

Read as a newcomer: a chain of five calls to count an outcome, and a message that named the flag --to where the address is an argument. No behaviour differs.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -73,12 +74,7 @@
 
     /// Counts a request and the time that its answer took.
     pub fn request(&self, route: &str, outcome: &'static str, time: Duration) {
-        *self
-            .outcomes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .entry(outcome)
-            .or_default() += 1;
+        *self.lock().entry(outcome).or_default() += 1;
         let route = KeyValue::new("route", route.to_owned());
         self.latency.record(time.as_secs_f64(), std::slice::from_ref(&route));
         self.requests.add(1, &[route, KeyValue::new("outcome", outcome)]);
@@ -86,8 +82,7 @@
 
     /// Requests since the start, by outcome.
     pub fn outcomes(&self) -> BTreeMap<SmolStr, u64> {
-        let outcomes = self.outcomes.lock().unwrap_or_else(PoisonError::into_inner);
-        outcomes.iter().map(|(outcome, count)| ((*outcome).into(), *count)).collect()
+        self.lock().iter().map(|(outcome, count)| ((*outcome).into(), *count)).collect()
     }
 
     /// Counts a request that is sent to one more leaf.
@@ -115,4 +110,8 @@
     pub fn scrape(&self) -> Result<String, Error> {
         self.registry.scrape()
     }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<&'static str, u64>> {
+        self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
--- a/crates/jaycrank/src/command.rs
+++ b/crates/jaycrank/src/command.rs
@@ -259,7 +259,7 @@
 pub(crate) fn address(text: &str) -> Result<SocketAddr, Error> {
     let bare = text.strip_prefix("http://").unwrap_or(text).trim_end_matches('/');
     bare.parse().map_err(|_| {
-        Error::Usage(format!("--to: `{text}` is not accepted; accepted: http://IP:PORT"))
+        Error::Usage(format!("address `{text}` is not accepted; accepted: http://IP:PORT"))
     })
 }
 
