--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -40,11 +40,13 @@
 use crate::catalog::Item;
 use crate::catalog::LeafId;
 use crate::catalog::Revision;
+use crate::config::Active;
 use crate::config::Config;
 use crate::config::Version;
 use crate::follow::Contact;
 use crate::gateway::Gateway;
 use crate::server::Handler;
+use crate::table::Table;
 
 /// Path of an exchange.
 const PATH: &str = "/exchange";
@@ -104,6 +106,13 @@
     After(T),
 }
 
+impl Wanted<Version> {
+    /// What is newer than the configuration in force here.
+    pub(crate) fn newer(table: &Table) -> Self {
+        table.active().map_or(Self::All, |active| Self::After(active.version()))
+    }
+}
+
 /// Leafs in an answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Leafs {
@@ -269,13 +278,20 @@
         self.knowledge(question)
     }
 
-    fn has_news(&self, question: &Question) -> bool {
-        let table = self.gateway.table();
-        let config = match question.version {
+    /// The configuration in force, if the question asks for it.
+    fn wanted_config(&self, wanted: Wanted<Version>) -> Option<Arc<Active>> {
+        let active = self.gateway.table().active()?;
+        let is_wanted = match wanted {
             Wanted::Nothing => false,
             Wanted::All => true,
-            Wanted::After(known) => table.active().is_some_and(|active| active.version() > known),
+            Wanted::After(known) => active.version() > known,
         };
+        is_wanted.then_some(active)
+    }
+
+    fn has_news(&self, question: &Question) -> bool {
+        let table = self.gateway.table();
+        let config = self.wanted_config(question.version).is_some();
         let leafs = match question.revision {
             Wanted::Nothing => false,
             Wanted::All => true,
@@ -286,12 +302,7 @@
 
     fn knowledge(&self, question: &Question) -> Knowledge {
         let table = self.gateway.table();
-        let config = table.active().map(|active| active.config().clone());
-        let config = match question.version {
-            Wanted::Nothing => None,
-            Wanted::All => config,
-            Wanted::After(known) => config.filter(|config| config.version > known),
-        };
+        let config = self.wanted_config(question.version).map(|active| active.config().clone());
         let revision = table.revision();
         let leafs = match question.revision {
             Wanted::Nothing => None,
@@ -438,14 +449,10 @@
 fn ask_for(gateway: &Gateway, peers: &Peers, turn: Turn) -> Question {
     let documents = turn.wants_documents();
     let table = gateway.table();
-    let version = match table.active() {
-        Some(active) => Wanted::After(active.version()),
-        None => Wanted::All,
-    };
     Question {
         from: peers.own,
         failure_domain: peers.failure_domain.clone(),
-        version: if documents { version } else { Wanted::Nothing },
+        version: if documents { Wanted::newer(table) } else { Wanted::Nothing },
         revision: if documents { Wanted::After(table.heard()) } else { Wanted::Nothing },
         wait_ms: 0,
         peers: turn.wants_peers(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -135,13 +135,6 @@
         }
     }
 
-    fn version(&self) -> Wanted<u64> {
-        match self.gateway.table().active() {
-            Some(active) => Wanted::After(active.version()),
-            None => Wanted::All,
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -169,7 +162,7 @@
 impl Catalog for Relay {
     async fn config(&self, time: Duration) -> Result<Listing<Stored>> {
         self.wait_for_peers().await;
-        match self.ask(self.version(), Wanted::Nothing, Duration::ZERO).await {
+        match self.ask(Wanted::newer(self.gateway.table()), Wanted::Nothing, Duration::ZERO).await {
             Some(knowledge) if knowledge.config.is_some() => Ok(stored(knowledge)),
             _ => self.store.config(time).await,
         }
@@ -181,7 +174,7 @@
         wait: Duration,
         time: Duration,
     ) -> Result<Listing<Stored>> {
-        match self.ask(self.version(), Wanted::Nothing, wait.min(WAIT)).await {
+        match self.ask(Wanted::newer(self.gateway.table()), Wanted::Nothing, wait.min(WAIT)).await {
             // The store's own revision is kept for the case that this instance reads it again.
             Some(knowledge) => Ok(Listing { revision, ..stored(knowledge) }),
             None => self.store.watch_config(revision, wait, time).await,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -149,11 +149,11 @@
 }
 
 #[cold]
-fn not_sent(error: impl fmt::Display) -> Error {
+pub(crate) fn not_sent(error: impl fmt::Display) -> Error {
     Error::NotSent(format_smolstr!("{error}"))
 }
 
 #[cold]
-fn lost(error: impl fmt::Display) -> Error {
+pub(crate) fn lost(error: impl fmt::Display) -> Error {
     Error::Lost(format_smolstr!("{error}"))
 }
--- a/crates/http/src/json.rs
+++ b/crates/http/src/json.rs
@@ -1,6 +1,5 @@
 //! A client of an interface that takes and gives JSON, with a bearer token.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -12,10 +11,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 
 use crate::client;
 use crate::client::Error;
+use crate::client::lost;
+use crate::client::not_sent;
 
 /// Decoded reply: the answer with status 200, or the status and body of a refusal.
 pub type Reply<T, R> = Result<T, (u16, R)>;
@@ -85,13 +85,3 @@
         serde_json::from_slice(body).map(|refusal| Err((status.as_u16(), refusal))).map_err(lost)
     }
 }
-
-#[cold]
-fn not_sent(error: impl fmt::Display) -> Error {
-    Error::NotSent(format_smolstr!("{error}"))
-}
-
-#[cold]
-fn lost(error: impl fmt::Display) -> Error {
-    Error::Lost(format_smolstr!("{error}"))
-}
