Refuse a request after three simultaneous crashes, and remember suspects longer

A suspect was forgotten after 60 s, so a request that is not idempotent and comes every few minutes was never refused; each refusal ended after 600 s, so it crashed a leaf every ten minutes.

Change: a request that several instances had in flight at three crashes is refused without an isolated run, unless another request or a failure of the leafs may be the cause; an isolated run waits 100 ms for reports of other instances. Leafs and reporters are bounded everywhere. The wait for an isolated run moves from the node to the quarantine, so that the gateway can use it, and an operator can lift a refusal.

--- a/crates/jaycrank/src/query.rs
+++ b/crates/jaycrank/src/query.rs
@@ -24,25 +24,21 @@
 use jaycrank_policy::quarantine::Decision;
 use jaycrank_policy::quarantine::Fingerprint;
 use jaycrank_policy::quarantine::Isolation;
+use jaycrank_policy::quarantine::Turn;
 use jaycrank_policy::tally::Counter;
 use jaycrank_policy::tally::Key;
 use jaycrank_policy::tally::Outcome;
 use serde_json::value::RawValue;
 use smol_str::SmolStr;
 use tokio::time::Instant;
-use tokio::time::sleep;
 
 use crate::metrics;
 use crate::node::Parts;
 use crate::publish;
 use crate::token;
 
-/// Delay before a suspect checks again whether it may run isolated.
-const ISOLATION_RETRY_DELAY: Duration = Duration::from_millis(2);
-
-/// Time for which a suspect waits for its examiner before this instance itself runs it isolated.
-/// The examiner runs its own suspects first, and may never receive this request.
-const EXAMINER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Retry delay for a suspect whose deadline passed before it could run isolated.
+const SUSPECT_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Handler that answers the queries of callers.
 pub struct Queries {
@@ -117,7 +113,7 @@
             }
             first_replies = Some(gathered);
         }
-        match self.isolate(fingerprint, deadline).await {
+        match self.isolate(fingerprint, first_replies.is_some(), deadline).await {
             // Another run cleared the suspect in the meantime.
             Ok(None) => {
                 let plan = Plan { retry_broken: true, ..plan };
@@ -141,31 +137,22 @@
     }
 
     /// Waits until a suspect may run isolated at this instance. Returns `None` if it was cleared.
+    ///
+    /// `crashed` states that the request was in flight at a crash that this instance has just seen.
     async fn isolate(
         &self,
         fingerprint: Fingerprint,
+        crashed: bool,
         deadline: Instant,
     ) -> Result<Option<Isolation>, Refusal> {
-        let quarantine = &self.parts.quarantine;
-        let wait_start = Instant::now();
-        loop {
-            match self.decide(fingerprint) {
-                Decision::Run => return Ok(None),
-                Decision::Refuse { retry_after } => return Err(crashes_servers(retry_after)),
-                Decision::RunIsolated | Decision::RetryLater { .. } => {}
-            }
-            let isolation = if wait_start.elapsed() < EXAMINER_TIMEOUT {
-                quarantine.start_isolated(fingerprint, now())
-            } else {
-                quarantine.start_isolated_here(fingerprint, now())
-            };
-            if isolation.is_some() {
-                return Ok(isolation);
-            }
-            if Instant::now() + ISOLATION_RETRY_DELAY >= deadline {
-                return Err(suspected(Duration::from_millis(250)));
-            }
-            sleep(ISOLATION_RETRY_DELAY).await;
+        if !self.is_quarantine_enabled() {
+            return Ok(None);
+        }
+        match self.parts.quarantine.isolate(fingerprint, crashed, deadline).await {
+            Turn::Isolated(isolation) => Ok(Some(isolation)),
+            Turn::Cleared => Ok(None),
+            Turn::Refused { retry_after } => Err(crashes_servers(retry_after)),
+            Turn::TimedOut => Err(suspected(SUSPECT_RETRY_DELAY)),
         }
     }
 
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -1,13 +1,15 @@
 //! Quarantine of requests that crash servers.
 //!
 //! A request that is in flight on a connection that breaks becomes a suspect. One instance
-//! of the cell, its examiner, runs it isolated: without hedges and one suspect at a time. If an
-//! isolated run crashes a leaf, all instances refuse the request; if it succeeds, the request is
-//! cleared.
+//! of the cell, its examiner, runs it isolated: without hedges and with a bound on the suspects that
+//! run at a time. If an isolated run crashes a leaf, all instances refuse the request; if it
+//! succeeds, the request is cleared. A request that several instances had in flight at three
+//! crashes is refused without an isolated run, unless another request may be the cause.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::fmt;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -21,6 +23,8 @@
 use sha2::Sha256;
 use smol_str::SmolStr;
 use tokio::sync::Notify;
+use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 /// A hash of the service and body of a request.
 pub type Fingerprint = u64;
@@ -31,15 +35,43 @@
 /// Most fingerprints remembered; the oldest is evicted first, refused ones last.
 const ENTRIES_MAX: usize = 1_024;
 
-/// Most leafs that incidents add to a fingerprint.
+/// Most leafs, and most reporters, remembered for a fingerprint.
 const LEAFS_MAX: usize = 8;
 
-/// Time after which a suspect or cleared fingerprint expires.
-const SUSPECT_TTL: Duration = Duration::from_secs(60);
+/// Number of crashes after which a request that several instances sent is refused without an
+/// isolated run.
+const CRASHES_MAX: usize = 3;
 
-/// Time for which a request is refused; afterwards it is a suspect again.
+/// Time after which a suspect expires. A request that is not idempotent is not sent again after a
+/// crash, so one that returns every few minutes must still be known.
+const SUSPECT_TTL: Duration = Duration::from_secs(1_200);
+
+/// Time after which a cleared fingerprint expires.
+const CLEARED_TTL: Duration = Duration::from_secs(60);
+
+/// Time of the first refusal of a request, after which it is a suspect again. It doubles with each
+/// further refusal.
 const REFUSAL_TTL: Duration = Duration::from_secs(600);
 
+/// Longest time for which a request is refused.
+const REFUSAL_TTL_MAX: Duration = Duration::from_secs(86_400);
+
+/// Time of a refusal without an isolated run. It is shorter, because leafs may have crashed together
+/// for a reason of their own.
+const UNCONFIRMED_REFUSAL_TTL: Duration = Duration::from_secs(60);
+
+/// Time between a crash and the isolated run of a request that was in flight, within which the
+/// reports of other instances arrive. Instances that get the request at the same moment would
+/// otherwise each crash a second leaf.
+const REPORT_TIME: Duration = Duration::from_millis(100);
+
+/// Delay before a suspect checks again whether it may run isolated.
+const ISOLATION_RETRY_DELAY: Duration = Duration::from_millis(2);
+
+/// Time for which a suspect waits for its examiner before this instance itself runs it isolated.
+/// The examiner runs its own suspects first, and may never receive this request.
+const EXAMINER_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Longest time between crashes that count as simultaneous.
 const SIMULTANEOUS_WINDOW: Duration = Duration::from_secs(1);
 
@@ -63,6 +95,16 @@
     leading_u64(&hash.finalize())
 }
 
+/// Returns the hash of a sequence of parts of a request.
+pub fn fingerprint_of(parts: &[&[u8]]) -> Fingerprint {
+    let mut hash = Sha256::new();
+    for part in parts {
+        hash.update((part.len() as u64).to_be_bytes());
+        hash.update(part);
+    }
+    leading_u64(&hash.finalize())
+}
+
 fn time_between(a: Instant, b: Instant) -> Duration {
     a.saturating_duration_since(b).max(b.saturating_duration_since(a))
 }
@@ -90,6 +132,21 @@
     },
 }
 
+/// Result of waiting for an isolated run; see [`Quarantine::isolate`].
+pub enum Turn {
+    /// The request may run isolated until the permit is dropped.
+    Isolated(Isolation),
+    /// The request was cleared and runs normally.
+    Cleared,
+    /// The request is refused.
+    Refused {
+        /// Remaining time for which it is refused.
+        retry_after: Duration,
+    },
+    /// The deadline passed first.
+    TimedOut,
+}
+
 /// State of a fingerprint. The variants are in order of precedence; a merge keeps the greater one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum State {
@@ -97,7 +154,7 @@
     Suspect,
     /// An isolated run succeeded.
     Cleared,
-    /// An isolated run crashed a leaf.
+    /// An isolated run crashed a leaf, or the request was in flight at several crashes.
     Refused,
 }
 
@@ -150,6 +207,40 @@
     fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.changed_at)
     }
+
+    fn ttl(&self) -> Duration {
+        self.observation.ttl()
+    }
+
+    fn add_leaf(&mut self, leaf: &SmolStr) {
+        insert_bounded(&mut self.observation.leafs, leaf.clone());
+    }
+
+    fn add_reporter(&mut self, name: &SmolStr) {
+        insert_bounded(&mut self.observation.reporters, name.clone());
+    }
+}
+
+impl Observation {
+    /// Returns the time for which the state is kept.
+    fn ttl(&self) -> Duration {
+        match self.state {
+            State::Suspect => SUSPECT_TTL,
+            State::Cleared => CLEARED_TTL,
+            State::Refused if self.crashed.is_none() => UNCONFIRMED_REFUSAL_TTL,
+            State::Refused => {
+                let doublings = self.round.saturating_sub(1).min(u32::BITS - 1);
+                REFUSAL_TTL.saturating_mul(1 << doublings).min(REFUSAL_TTL_MAX)
+            }
+        }
+    }
+}
+
+/// Inserts a name unless the set already holds [`LEAFS_MAX`] names.
+fn insert_bounded(names: &mut BTreeSet<SmolStr>, name: SmolStr) {
+    if names.len() < LEAFS_MAX {
+        names.insert(name);
+    }
 }
 
 #[derive(Default)]
@@ -159,13 +250,15 @@
     crashes: VecDeque<(SmolStr, Instant)>,
     /// Names of the ready instances of the cell. While it is empty, all reporters count as ready.
     ready: BTreeSet<SmolStr>,
-    /// Fingerprint of the isolated run at this instance.
-    isolated: Option<Fingerprint>,
+    /// Fingerprints of the isolated runs at this instance.
+    isolated: BTreeSet<Fingerprint>,
 }
 
 /// One instance's view of the requests that are suspected of crashing servers.
 pub struct Quarantine {
     name: SmolStr,
+    /// Most isolated runs at a time.
+    isolated_max: usize,
     inner: Arc<Mutex<Inner>>,
     changed: Arc<Notify>,
 }
@@ -183,9 +276,21 @@
     }
 }
 
+impl fmt::Debug for Quarantine {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Quarantine").field("name", &self.name).finish_non_exhaustive()
+    }
+}
+
+impl fmt::Debug for Isolation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("Isolation").field(&self.fingerprint).finish()
+    }
+}
+
 impl Drop for Isolation {
     fn drop(&mut self) {
-        lock(&self.inner).isolated = None;
+        lock(&self.inner).isolated.remove(&self.fingerprint);
     }
 }
 
@@ -196,7 +301,14 @@
 impl Quarantine {
     /// Creates an empty quarantine of the instance `name`.
     pub fn new(name: impl Into<SmolStr>) -> Self {
-        Self { name: name.into(), inner: Arc::default(), changed: Arc::default() }
+        Self { name: name.into(), isolated_max: 1, inner: Arc::default(), changed: Arc::default() }
+    }
+
+    /// Sets the number of suspects that may run isolated at a time. A caller that allows more than
+    /// one must run them at different leafs.
+    pub fn with_isolated_max(mut self, runs: usize) -> Self {
+        self.isolated_max = runs.max(1);
+        self
     }
 
     /// Replaces the names of the ready instances of the cell, from which examiners are chosen.
@@ -217,7 +329,7 @@
         match entry.observation.state {
             State::Cleared => Decision::Run,
             State::Refused => {
-                Decision::Refuse { retry_after: REFUSAL_TTL.saturating_sub(entry.age(now)) }
+                Decision::Refuse { retry_after: entry.ttl().saturating_sub(entry.age(now)) }
             }
             State::Suspect if inner.examiner(entry).is_none_or(|name| *name == self.name) => {
                 Decision::RunIsolated
@@ -229,7 +341,7 @@
     /// Starts an isolated run if this instance examines the suspect and has no other isolated run.
     pub fn start_isolated(&self, fingerprint: Fingerprint, now: Instant) -> Option<Isolation> {
         match self.decide(fingerprint, now) {
-            Decision::RunIsolated => self.isolate(fingerprint),
+            Decision::RunIsolated => self.permit(fingerprint),
             _ => None,
         }
     }
@@ -241,23 +353,82 @@
     /// it.
     pub fn start_isolated_here(&self, fingerprint: Fingerprint, now: Instant) -> Option<Isolation> {
         match self.decide(fingerprint, now) {
-            Decision::RunIsolated | Decision::RetryLater { .. } => self.isolate(fingerprint),
+            Decision::RunIsolated | Decision::RetryLater { .. } => self.permit(fingerprint),
             _ => None,
         }
     }
 
-    fn isolate(&self, fingerprint: Fingerprint) -> Option<Isolation> {
+    fn permit(&self, fingerprint: Fingerprint) -> Option<Isolation> {
         let mut inner = lock(&self.inner);
-        if inner.isolated.is_some() {
-            return None;
+        let is_free = inner.isolated.len() < self.isolated_max;
+        let granted = is_free && inner.isolated.insert(fingerprint);
+        granted.then(|| Isolation { inner: self.inner.clone(), fingerprint })
+    }
+
+    /// Waits until a suspect may run isolated at this instance.
+    ///
+    /// `crashed` states that the request was in flight at a crash that this instance has just seen;
+    /// then the reports of other instances are awaited first.
+    ///
+    /// # Cancel safety
+    ///
+    /// Dropping the future leaves no trace.
+    pub async fn isolate(
+        &self,
+        fingerprint: Fingerprint,
+        crashed: bool,
+        deadline: tokio::time::Instant,
+    ) -> Turn {
+        if crashed {
+            sleep_until((tokio::time::Instant::now() + REPORT_TIME).min(deadline)).await;
+        }
+        let started = tokio::time::Instant::now();
+        loop {
+            let now = tokio::time::Instant::now();
+            match self.decide(fingerprint, now.into_std()) {
+                Decision::Run => return Turn::Cleared,
+                Decision::Refuse { retry_after } => return Turn::Refused { retry_after },
+                Decision::RunIsolated | Decision::RetryLater { .. } => {}
+            }
+            let isolation = if started.elapsed() < EXAMINER_TIMEOUT {
+                self.start_isolated(fingerprint, now.into_std())
+            } else {
+                self.start_isolated_here(fingerprint, now.into_std())
+            };
+            if let Some(isolation) = isolation {
+                return Turn::Isolated(isolation);
+            }
+            if now + ISOLATION_RETRY_DELAY >= deadline {
+                return Turn::TimedOut;
+            }
+            sleep(ISOLATION_RETRY_DELAY).await;
         }
-        inner.isolated = Some(fingerprint);
-        Some(Isolation { inner: self.inner.clone(), fingerprint })
     }
 
-    /// Returns the fingerprint of the isolated run in progress at this instance.
+    /// Returns whether no fingerprint is known, so that requests need no check.
+    pub fn is_empty(&self) -> bool {
+        lock(&self.inner).entries.is_empty()
+    }
+
+    /// Returns a fingerprint of an isolated run in progress at this instance.
     pub fn isolated(&self) -> Option<Fingerprint> {
-        lock(&self.inner).isolated
+        lock(&self.inner).isolated.first().copied()
+    }
+
+    /// Ends the refusal of a request on all instances; returns whether it was refused or suspected.
+    pub fn lift(&self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let mut inner = lock(&self.inner);
+        inner.expire(fingerprint, now);
+        let Some(entry) = inner.entries.get_mut(&fingerprint) else { return false };
+        if entry.observation.state == State::Cleared {
+            return false;
+        }
+        entry.suspect_again(now);
+        entry.observation.state = State::Cleared;
+        entry.observation.leafs.clear();
+        drop(inner);
+        self.changed.notify_one();
+        true
     }
 
     /// Records that the connection to a leaf broke with requests in flight.
@@ -300,9 +471,12 @@
         self.changed.notify_one();
     }
 
-    /// Returns all observations of this instance, for heartbeats.
+    /// Returns all observations of this instance that have not expired, for heartbeats.
     pub fn observations(&self, now: Instant) -> Observations {
-        let inner = lock(&self.inner);
+        let mut inner = lock(&self.inner);
+        inner.entries.retain(|_, entry| {
+            entry.observation.state == State::Refused || entry.age(now) < entry.ttl()
+        });
         let observation = |entry: &Entry| {
             let age_ms = u64::try_from(entry.age(now).as_millis()).unwrap_or(u64::MAX);
             Observation { age_ms, ..entry.observation.clone() }
@@ -310,6 +484,27 @@
         inner.entries.iter().map(|(key, entry)| (*key, observation(entry))).collect()
     }
 
+    /// Returns the observations that changed within the last `age`.
+    pub fn recent_observations(&self, age: Duration, now: Instant) -> Observations {
+        let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        let mut observations = self.observations(now);
+        observations.retain(|_, observation| observation.age_ms <= age_ms);
+        observations
+    }
+
+    /// Returns a hash of all observations without their ages. Instances with the same hash have
+    /// nothing to tell each other.
+    pub fn digest(&self, now: Instant) -> u64 {
+        let mut hash = Sha256::new();
+        for (fingerprint, Observation { round, state, leafs, .. }) in self.observations(now) {
+            hash.update(fingerprint.to_be_bytes());
+            hash.update(round.to_be_bytes());
+            hash.update([state as u8, leafs.len() as u8]);
+            leafs.iter().for_each(|leaf| hash.update(leaf));
+        }
+        leading_u64(&hash.finalize())
+    }
+
     /// Merges the observations of a peer.
     pub fn merge(&self, observations: Observations, now: Instant) {
         let mut inner = lock(&self.inner);
@@ -323,12 +518,14 @@
     /// Removes an expired fingerprint; a refused one becomes a suspect again.
     fn expire(&mut self, fingerprint: Fingerprint, now: Instant) {
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return };
+        if entry.age(now) < entry.ttl() {
+            return;
+        }
         match entry.observation.state {
-            State::Refused if entry.age(now) >= REFUSAL_TTL => entry.suspect_again(now),
-            State::Suspect | State::Cleared if entry.age(now) >= SUSPECT_TTL => {
+            State::Refused => entry.suspect_again(now),
+            State::Suspect | State::Cleared => {
                 self.entries.remove(&fingerprint);
             }
-            _ => {}
         }
     }
 
@@ -367,11 +564,14 @@
         name: &SmolStr,
         now: Instant,
     ) {
-        let entry = self.entry(fingerprint, now);
-        entry.observation.reporters.insert(name.clone());
-        if entry.observation.leafs.len() < LEAFS_MAX {
-            entry.observation.leafs.insert(leaf.clone());
+        let others = self.other_crashes(fingerprint, leaf);
+        let is_known = self.entries.contains_key(&fingerprint);
+        if others >= MASS_FAILURE_LEAFS && !is_known {
+            return;
         }
+        let entry = self.entry(fingerprint, now);
+        entry.add_reporter(name);
+        entry.add_leaf(leaf);
         match entry.observation.state {
             State::Suspect => entry.changed_at = now,
             // A cleared request may be in flight by chance when one leaf crashes; a second
@@ -379,6 +579,40 @@
             State::Cleared if entry.observation.leafs.len() >= 2 => entry.suspect_again(now),
             State::Cleared | State::Refused => {}
         }
+        self.refuse_if_sole_cause(fingerprint, now);
+    }
+
+    /// Returns the number of leafs that have just crashed, apart from `leaf` and from those at which
+    /// the request was in flight.
+    fn other_crashes(&self, fingerprint: Fingerprint, leaf: &SmolStr) -> usize {
+        let own = self.entries.get(&fingerprint).map(|entry| &entry.observation.leafs);
+        let others = self.crashes.iter().filter(|(crashed, _)| {
+            crashed != leaf && !own.is_some_and(|leafs| leafs.contains(crashed))
+        });
+        others.count()
+    }
+
+    /// Refuses a suspect that several instances had in flight at [`CRASHES_MAX`] crashes. It stays a
+    /// suspect if another fingerprint was in flight at two of them too, or if other leafs crashed
+    /// at the same time: then the leafs may have crashed together for a reason of their own.
+    fn refuse_if_sole_cause(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let Some(entry) = self.entries.get(&fingerprint) else { return };
+        let Observation { state, leafs, reporters, .. } = &entry.observation;
+        if *state != State::Suspect || leafs.len() < CRASHES_MAX || reporters.len() < 2 {
+            return;
+        }
+        let is_shared = self.entries.iter().any(|(key, other)| {
+            *key != fingerprint && other.observation.leafs.intersection(leafs).count() >= 2
+        });
+        let others = self.crashes.iter().filter(|(crashed, _)| !leafs.contains(crashed)).count();
+        if is_shared || others >= MASS_FAILURE_LEAFS {
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.observation.state = State::Refused;
+            entry.changed_at = now;
+        }
+        self.apply_refusal(fingerprint, now);
     }
 
     /// Records that an isolated run crashed a leaf.
@@ -389,12 +623,10 @@
         name: &SmolStr,
         now: Instant,
     ) {
-        let crashes: Vec<_> = self.crashes.iter().map(|(leaf, _)| leaf.clone()).collect();
+        let others = self.other_crashes(fingerprint, leaf);
         let entry = self.entry(fingerprint, now);
-        let others = crashes.iter().filter(|crashed| *crashed != leaf);
-        let others = others.filter(|crashed| !entry.observation.leafs.contains(*crashed)).count();
-        entry.observation.leafs.insert(leaf.clone());
-        entry.observation.reporters.insert(name.clone());
+        entry.add_leaf(leaf);
+        entry.add_reporter(name);
         entry.changed_at = now;
         // At most one run is inconclusive, so that a request that crashes servers is refused after
         // three crashes even if other leafs keep crashing.
@@ -426,6 +658,7 @@
         let simultaneous = self.entries.iter().filter(|(key, other)| {
             **key != refused
                 && other.observation.state == State::Refused
+                && crashed.is_some()
                 && other.observation.crashed == crashed
                 && time_between(other.changed_at, at) <= SIMULTANEOUS_WINDOW
         });
@@ -446,10 +679,12 @@
         });
     }
 
-    fn merge(&mut self, fingerprint: Fingerprint, observation: Observation, now: Instant) {
+    fn merge(&mut self, fingerprint: Fingerprint, mut observation: Observation, now: Instant) {
+        for names in [&mut observation.leafs, &mut observation.reporters] {
+            *names = std::mem::take(names).into_iter().take(LEAFS_MAX).collect();
+        }
         let age = Duration::from_millis(observation.age_ms);
-        let kept = if observation.state == State::Refused { REFUSAL_TTL } else { SUSPECT_TTL };
-        if age >= kept {
+        if age >= observation.ttl() {
             return;
         }
         let at = now.checked_sub(age).unwrap_or(now);
@@ -468,13 +703,11 @@
         let known = (entry.observation.round, entry.observation.state);
         if (observation.round, observation.state) > known {
             let refused = observation.state == State::Refused;
-            let reporters = std::mem::take(&mut entry.observation.reporters);
-            let leafs = std::mem::take(&mut entry.observation.leafs);
-            entry.observation = observation;
+            let known = std::mem::replace(&mut entry.observation, observation);
             entry.changed_at = at;
-            entry.observation.reporters.extend(reporters);
+            known.reporters.iter().for_each(|name| entry.add_reporter(name));
             if entry.observation.state != State::Cleared {
-                entry.observation.leafs.extend(leafs);
+                known.leafs.iter().for_each(|leaf| entry.add_leaf(leaf));
             }
             if refused {
                 self.apply_refusal(fingerprint, now);
@@ -482,8 +715,9 @@
         } else if (observation.round, observation.state) == known {
             entry.observation.inconclusive =
                 entry.observation.inconclusive.max(observation.inconclusive);
-            entry.observation.reporters.extend(observation.reporters);
-            entry.observation.leafs.extend(observation.leafs);
+            observation.reporters.iter().for_each(|name| entry.add_reporter(name));
+            observation.leafs.iter().for_each(|leaf| entry.add_leaf(leaf));
         }
+        self.refuse_if_sole_cause(fingerprint, now);
     }
 }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -6,6 +6,7 @@
 
 use jaycrank_policy::quarantine::Decision;
 use jaycrank_policy::quarantine::Fingerprint;
+use jaycrank_policy::quarantine::Observation;
 use jaycrank_policy::quarantine::Observations;
 use jaycrank_policy::quarantine::Quarantine;
 use rand::RngExt;
@@ -149,6 +150,128 @@
     }
 }
 
+/// Returns instances that each had the request in flight at another crashed leaf, and then received
+/// the observations of all others.
+fn instances_after_simultaneous_crashes(others_in_flight: &[Fingerprint]) -> Vec<Quarantine> {
+    let now = Instant::now();
+    let instances: Vec<_> =
+        (0..3).map(|index| Quarantine::new(format_smolstr!("entry-{index}"))).collect();
+    for (index, instance) in instances.iter().enumerate() {
+        let in_flight = [&[POISON], others_in_flight].concat();
+        instance.record_incident(&leaf(index), &in_flight, None, now);
+    }
+    let sent: Vec<_> = instances.iter().map(|instance| instance.observations(now)).collect();
+    for instance in &instances {
+        sent.iter().for_each(|observations| instance.merge(observations.clone(), now));
+    }
+    instances
+}
+
+/// Three instances get the request at the same moment and each crash a leaf. Guards against an
+/// isolated run that crashes a fourth one.
+#[test]
+fn three_simultaneous_crashes_refuse_the_request_without_an_isolated_run() {
+    let now = Instant::now();
+    for instance in instances_after_simultaneous_crashes(&[]) {
+        assert!(refused(instance.decide(POISON, now)), "{instance:?}");
+        assert!(refused(instance.decide(POISON, now + Duration::from_secs(59))));
+        // Without an isolated run the refusal is short, in case the leafs had another reason.
+        let later = now + Duration::from_secs(61);
+        assert!(instance.start_isolated_here(POISON, later).is_some());
+    }
+}
+
+/// Guards against refusing a request because of simultaneous crashes that another one, or a failure
+/// of the leafs themselves, may have caused.
+#[test]
+fn simultaneous_crashes_with_two_suspects_refuse_neither() {
+    let now = Instant::now();
+    for instance in instances_after_simultaneous_crashes(&[7]) {
+        assert!(!refused(instance.decide(POISON, now)) && !refused(instance.decide(7, now)));
+    }
+}
+
+/// Guards against forgetting a request that is not idempotent, and so crashes one leaf each time, if
+/// it comes only every few minutes.
+#[test]
+fn rare_request_that_crashes_servers_is_refused_at_its_second_crash() {
+    let (quarantine, now) = (Quarantine::new("entry-0"), Instant::now());
+    quarantine.record_incident(&leaf(0), &[POISON], None, now);
+    let later = now + Duration::from_secs(15 * 60);
+    assert_eq!(quarantine.decide(POISON, later), Decision::RunIsolated);
+    quarantine.record_incident(&leaf(1), &[POISON], Some(POISON), later);
+    assert!(refused(quarantine.decide(POISON, later)));
+}
+
+/// Guards against a request that crashes a leaf at the end of each refusal, always after the same
+/// time, and against a refusal that never ends.
+#[test]
+fn refusals_get_longer_with_each_crash() {
+    let (quarantine, mut now) = (Quarantine::new("entry-0"), Instant::now());
+    quarantine.record_incident(&leaf(0), &[POISON], None, now);
+    let mut lengths = Vec::new();
+    for index in 1..12 {
+        quarantine.record_incident(&leaf(index), &[POISON], Some(POISON), now);
+        let Decision::Refuse { retry_after } = quarantine.decide(POISON, now) else {
+            panic!("not refused after crash {index}");
+        };
+        lengths.push(retry_after.as_secs());
+        now += retry_after;
+        assert_eq!(quarantine.decide(POISON, now), Decision::RunIsolated);
+    }
+    assert_eq!(lengths[..4], [600, 1_200, 2_400, 4_800]);
+    assert!(lengths.iter().all(|length| *length <= 86_400), "{lengths:?}");
+}
+
+/// Guards against memory that grows with the requests that were in flight at crashes, with the
+/// leafs that one crashed, or with what peers send.
+#[test]
+fn memory_of_a_million_suspects_is_bounded() {
+    const NAMES_MAX: usize = 8;
+    let (quarantine, now) = (Quarantine::new("entry-0"), Instant::now());
+    let count = if cfg!(debug_assertions) { 20_000 } else { 1_000_000 };
+    for fingerprint in 0..count {
+        quarantine.record_incident(&leaf(fingerprint as usize % 50), &[fingerprint], None, now);
+    }
+    let peer = Quarantine::new("entry-1");
+    for index in 0..50 {
+        peer.record_incident(&leaf(index), &[7], Some(7), now);
+        peer.record_incident(&leaf(index), &[8], None, now);
+    }
+    let mut sent = peer.observations(now);
+    for observation in sent.values_mut() {
+        observation.leafs.extend((0..1_000).map(leaf));
+        observation.reporters.extend((0..1_000).map(leaf));
+    }
+    quarantine.merge(sent, now);
+    let known = quarantine.observations(now);
+    assert!(known.len() <= 1_024);
+    for Observation { leafs, reporters, .. } in
+        known.values().chain(peer.observations(now).values())
+    {
+        assert!(leafs.len() <= NAMES_MAX && reporters.len() <= NAMES_MAX);
+    }
+}
+
+/// Guards against a refusal that an operator can't end, and against one that an instance without
+/// the operator's decision brings back.
+#[test]
+fn lifted_refusal_stays_lifted() {
+    let (quarantine, now) = (Quarantine::new("entry-0"), Instant::now());
+    let peer = Quarantine::new("entry-1");
+    quarantine.record_incident(&leaf(0), &[POISON], None, now);
+    quarantine.record_incident(&leaf(1), &[POISON], Some(POISON), now);
+    peer.merge(quarantine.observations(now), now);
+    assert!(refused(peer.decide(POISON, now)));
+    assert!(quarantine.lift(POISON, now) && !quarantine.lift(7, now));
+    quarantine.merge(peer.observations(now), now);
+    peer.merge(quarantine.observations(now), now);
+    for instance in [&quarantine, &peer] {
+        assert_eq!(instance.decide(POISON, now), Decision::Run);
+    }
+    assert_eq!(quarantine.digest(now), peer.digest(now));
+}
+
 #[derive(Clone, Debug)]
 enum Event {
     Send(Fingerprint),
