--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -66,6 +66,8 @@
     RequestResent,
     /// The caller of a request disconnected.
     RequestAbandoned,
+    /// A request was refused because it crashes leafs, or is being tested for that.
+    RequestQuarantined,
     /// A version of the routes is in force.
     RoutesApplied,
     /// A stored version of the routes is invalid; the current one stays in force.
@@ -78,6 +80,8 @@
     LeafInvalid,
     /// A leaf did not answer a request.
     LeafFailed,
+    /// A leaf crashed with a request in flight.
+    LeafCrashed,
     /// The instance received newer documents from a peer.
     PeerDocuments,
     /// The process settings were reloaded.
@@ -111,12 +115,14 @@
             Self::RequestFailed => "JC0503",
             Self::RequestResent => "JC0504",
             Self::RequestAbandoned => "JC0505",
+            Self::RequestQuarantined => "JC0506",
             Self::RoutesApplied => "JC0601",
             Self::RoutesInvalid => "JC0602",
             Self::LeafChanged => "JC0701",
             Self::LeafLapsed => "JC0702",
             Self::LeafInvalid => "JC0703",
             Self::LeafFailed => "JC0704",
+            Self::LeafCrashed => "JC0705",
             Self::PeerDocuments => "JC0801",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
@@ -134,6 +140,8 @@
             | Self::RequestFailed
             | Self::RoutesInvalid
             | Self::LeafInvalid
+            | Self::LeafCrashed
+            | Self::RequestQuarantined
             | Self::ReloadFailed => Level::Warn,
             _ => Level::Info,
         }
@@ -163,12 +171,14 @@
             Self::RequestFailed => "request failed without an answer and may have run",
             Self::RequestResent => "extra request to a leaf",
             Self::RequestAbandoned => "caller of the request disconnected",
+            Self::RequestQuarantined => "request was refused because it may crash leafs",
             Self::RoutesApplied => "routes are in force",
             Self::RoutesInvalid => "stored routes are not valid",
             Self::LeafChanged => "entry of a leaf changed",
             Self::LeafLapsed => "entry of a leaf was removed",
             Self::LeafInvalid => "entry of a leaf is not valid",
             Self::LeafFailed => "leaf did not answer",
+            Self::LeafCrashed => "leaf crashed with the request in flight",
             Self::PeerDocuments => "newer documents were received from a peer",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -1,15 +1,20 @@
 //! Handlers of the readiness probe, the metrics and the state dump.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Instant;
 
 use async_trait::async_trait;
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::Method;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use jaycrank_policy::quarantine::Observation;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use tokio::sync::watch;
 
 use crate::answer::Reply;
@@ -19,8 +24,12 @@
 use crate::report::Dump;
 use crate::report::LeafStatus;
 use crate::server::Handler;
+use crate::server::Origin;
 use crate::server::Phase;
 
+/// HTTP path, before the fingerprint, that ends the refusal of a request.
+const LIFT_PREFIX: &str = "/quarantine/lift/";
+
 /// Handler of the readiness probe of the load balancer.
 pub struct Readiness {
     gateway: Arc<Gateway>,
@@ -37,7 +46,7 @@
 
 #[async_trait]
 impl Handler for Readiness {
-    async fn handle(&self, request: Request<Incoming>, _first: bool) -> Reply {
+    async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
         let ready =
             *self.phase.borrow() == Phase::Serving && self.gateway.directory().is_complete();
         if request.uri().path() != self.path {
@@ -50,7 +59,7 @@
     }
 }
 
-/// Handler of `/metrics` and `/dump`.
+/// Handler of `/metrics`, `/dump` and `/quarantine/lift/FINGERPRINT`.
 pub struct Admin {
     name: SmolStr,
     gateway: Arc<Gateway>,
@@ -82,13 +91,38 @@
             outcomes: self.gateway.metrics().outcomes(),
             budgets: self.gateway.quotas().tokens_by_service(),
             leafs: leafs.collect(),
+            quarantine: self.quarantine(),
+        }
+    }
+
+    fn quarantine(&self) -> BTreeMap<SmolStr, Observation> {
+        let observations = self.gateway.quarantine().observations(Instant::now());
+        let named = observations
+            .into_iter()
+            .map(|(fingerprint, observation)| (format_smolstr!("{fingerprint:016x}"), observation));
+        named.collect()
+    }
+
+    /// Ends the refusal of the request with this fingerprint, in hexadecimal.
+    fn lift(&self, fingerprint: &str) -> Reply {
+        let fingerprint = u64::from_str_radix(fingerprint, 16).ok();
+        let quarantine = self.gateway.quarantine();
+        match fingerprint.map(|fingerprint| quarantine.lift(fingerprint, Instant::now())) {
+            Some(true) => text_reply(StatusCode::OK, "lifted\n".to_owned()),
+            Some(false) => text_reply(StatusCode::NOT_FOUND, "not quarantined\n".to_owned()),
+            None => text_reply(StatusCode::BAD_REQUEST, "not a fingerprint\n".to_owned()),
         }
     }
 }
 
 #[async_trait]
 impl Handler for Admin {
-    async fn handle(&self, request: Request<Incoming>, _first: bool) -> Reply {
+    async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
+        if request.method() == Method::POST
+            && let Some(fingerprint) = request.uri().path().strip_prefix(LIFT_PREFIX)
+        {
+            return self.lift(fingerprint);
+        }
         let body = match request.uri().path() {
             "/metrics" => self.gateway.metrics().scrape().map_err(|error| error.to_string()),
             DUMP_PATH => serde_json::to_string(&self.dump()).map_err(|error| error.to_string()),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -35,6 +35,8 @@
     Overloaded,
     /// No leaf ran the request.
     NotRun,
+    /// The request crashes the leafs that run it, or is being tested for that.
+    Quarantined,
     /// A leaf may have run the request, but its answer was lost.
     Lost,
     /// A leaf may have run the request, but did not answer before the deadline.
@@ -46,7 +48,9 @@
     /// request was not run, 502 and 504 that it may have run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotStarted | Self::Overloaded | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotStarted | Self::Overloaded | Self::NotRun | Self::Quarantined => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenOff => StatusCode::BAD_REQUEST,
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,8 @@
 //! One attempt: a request sent to one leaf, and its outcome.
 
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,8 +20,11 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::http::uri::PathAndQuery;
 use jaycrank_policy::placement::LoadReport;
 use jaycrank_policy::placement::Ticket;
+use jaycrank_policy::quarantine;
+use jaycrank_policy::quarantine::Fingerprint;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
@@ -50,6 +56,37 @@
     pub body: Bytes,
     /// Request id of the caller; empty if there is none.
     pub id: SmolStr,
+    /// Address of the caller.
+    pub caller: IpAddr,
+}
+
+/// Hashes what identifies a request: the same request of the same caller has another id each time.
+impl Hash for Outgoing {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        (self.caller, self.host(), &self.method, self.target(), &self.body).hash(state);
+    }
+}
+
+impl Outgoing {
+    fn host(&self) -> &[u8] {
+        self.headers.get(header::HOST).map(HeaderValue::as_bytes).unwrap_or_default()
+    }
+
+    fn target(&self) -> &str {
+        self.uri.path_and_query().map_or("/", PathAndQuery::as_str)
+    }
+
+    /// Returns the hash by which the same request of the same caller is known again, whatever its
+    /// id.
+    pub fn fingerprint(&self) -> Fingerprint {
+        quarantine::fingerprint_of(&[
+            self.caller.to_string().as_bytes(),
+            self.host(),
+            self.method.as_str().as_bytes(),
+            self.target().as_bytes(),
+            &self.body,
+        ])
+    }
 }
 
 /// Complete answer of a leaf.
@@ -76,6 +113,8 @@
     NotSent(SmolStr),
     /// The request was sent without a usable answer; it may have run.
     Lost(SmolStr),
+    /// The connection broke with the request in flight, and the leaf accepts no new one.
+    Crashed(SmolStr),
 }
 
 /// Guard that keeps a request counted as in flight at a leaf until the attempt ends or is dropped.
@@ -155,7 +194,6 @@
             Err(mut failure) => match failure.take_message() {
                 // The leaf had closed the pooled connection; nothing was sent.
                 Some(unsent) if lease.connect_time.is_none() => {
-                    request = unsent;
                     drop(lease);
                     lease = match leaf.pool().acquire(true).await {
                         Ok(lease) => lease,
@@ -164,6 +202,7 @@
                             return (Outcome::NotSent(format_smolstr!("{error}")), None);
                         }
                     };
+                    request = unsent;
                 }
                 Some(_) => {
                     observation.fail();
@@ -175,7 +214,8 @@
                         leaf.pool().record_reset();
                     }
                     leaf.pool().close_opened_until(lease.opened());
-                    return (Outcome::Lost(format_smolstr!("{}", failure.error())), None);
+                    let detail = format_smolstr!("{}", failure.error());
+                    return (lost_or_crashed(&leaf, detail).await, None);
                 }
             },
         }
@@ -203,7 +243,9 @@
         Ok(body) => body.to_bytes(),
         Err(error) => {
             observation.fail();
-            return (Outcome::Lost(format_smolstr!("response body incomplete: {error}")), None);
+            drop(lease);
+            let detail = format_smolstr!("response body incomplete: {error}");
+            return (lost_or_crashed(leaf, detail).await, None);
         }
     };
     let mut headers = head.headers;
@@ -240,6 +282,11 @@
     (Outcome::Answered(Answer { status: head.status, headers, body, signature }), time)
 }
 
+/// Returns the outcome of a request whose connection broke.
+async fn lost_or_crashed(leaf: &Leaf, detail: SmolStr) -> Outcome {
+    if leaf.pool().is_refused().await { Outcome::Crashed(detail) } else { Outcome::Lost(detail) }
+}
+
 fn build_request(leaf: &Leaf, outgoing: &Outgoing, context: &Context) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -12,8 +12,11 @@
 use jaycrank_event::event;
 use jaycrank_policy::attempts::Attempts;
 use jaycrank_policy::placement;
+use jaycrank_policy::quarantine::Isolation;
+use jaycrank_policy::quarantine::Turn;
 use jaycrank_policy::timing;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use strum::IntoStaticStr;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -27,7 +30,9 @@
 use crate::attempt::send_request;
 use crate::catalog::LeafId;
 use crate::gateway::Gateway;
+use crate::leaf::IsolatedLeaf;
 use crate::leaf::Leaf;
+use crate::quarantine;
 
 /// Time for which a hedged request stays open at the slower leaf after the other one has answered.
 /// A leaf that pauses briefly still answers in time, so its connection can be reused. The
@@ -45,6 +50,8 @@
     pub outgoing: Arc<Outgoing>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Whether the request is a suspect that runs isolated: at one leaf at a time, without hedges.
+    pub isolated: bool,
     /// Maximum number of leafs that may run the request.
     pub attempts_max: u32,
     /// Time by which the answer should be there to meet the target latency.
@@ -66,6 +73,8 @@
     Unreachable,
     /// The connection broke, or the leaf sent an invalid response.
     Lost,
+    /// The leaf ended with the request in flight.
+    Crashed,
     /// No leaf answered before the deadline.
     TimedOut,
     /// The leafs answered with an error status.
@@ -106,6 +115,12 @@
     /// Leafs with a request in flight.
     pending: Vec<Arc<Leaf>>,
     started: Instant,
+    /// Whether a leaf crashed with the request in flight and it has not run isolated since.
+    suspected: bool,
+    /// Permit of the isolated run.
+    isolation: Option<Isolation>,
+    /// Marks of the leafs of the isolated run.
+    isolated_leafs: Vec<IsolatedLeaf>,
     /// Failure to return unless a leaf answers.
     failure: Failure,
 }
@@ -125,6 +140,9 @@
         attempts: Attempts::new(job.attempts_max),
         pending: Vec::new(),
         started: Instant::now(),
+        suspected: false,
+        isolation: None,
+        isolated_leafs: Vec::new(),
         failure,
     };
     gateway.quotas().deposit(&job.service);
@@ -135,8 +153,11 @@
     async fn run(&mut self) -> Result {
         let mut hedge_at = self.send("first");
         loop {
-            if self.in_flight.is_empty() && !self.retry_rejected().await {
-                return Err(self.failure.clone());
+            if self.in_flight.is_empty() {
+                match self.resume().await {
+                    Some(at) => hedge_at = Some(at),
+                    None => return Err(self.failure.clone()),
+                }
             }
             let hedge = async {
                 match hedge_at {
@@ -151,6 +172,9 @@
                         self.gateway.record_service_time(&self.job.service, time);
                     }
                     self.pending.retain(|pending| !Arc::ptr_eq(pending, &leaf));
+                    if matches!(outcome, Outcome::Answered(_)) {
+                        self.clear_suspicion();
+                    }
                     match outcome {
                         Outcome::Answered(answer) if !answer.status.is_server_error() => {
                             self.detach_losers();
@@ -189,6 +213,10 @@
             Outcome::NotRun(detail) => (Reason::Rejected, detail, false),
             Outcome::NotSent(detail) => (Reason::Unreachable, detail, false),
             Outcome::Lost(detail) => (Reason::Lost, detail, true),
+            Outcome::Crashed(detail) => {
+                self.record_crash(leaf);
+                (Reason::Crashed, detail, true)
+            }
         };
         self.failure.reason = reason;
         self.failure.may_have_run |= may_have_run;
@@ -215,35 +243,96 @@
         );
     }
 
+    /// Records that a leaf ended with the request in flight, which makes the request a suspect
+    /// unless it has just succeeded.
+    fn record_crash(&mut self, leaf: &Leaf) {
+        let fingerprint = self.job.outgoing.fingerprint();
+        let isolated = self.is_isolated();
+        let suspected = isolated || !self.gateway.has_just_succeeded(&self.job.outgoing);
+        let id = leaf.with_entry(|entry| entry.id.clone());
+        event!(
+            Event::LeafCrashed,
+            request = self.job.outgoing.id,
+            service = self.job.service,
+            leaf = id,
+            fingerprint = format_smolstr!("{fingerprint:016x}"),
+            isolated = isolated,
+            suspected = suspected
+        );
+        self.gateway.metrics().record_leaf_crash(isolated);
+        if !suspected {
+            return;
+        }
+        self.suspected = true;
+        let quarantine = self.gateway.quarantine();
+        let now = Instant::now().into_std();
+        quarantine.record_incident(&id, &[fingerprint], isolated.then_some(fingerprint), now);
+    }
+
+    /// Records that the request ran without a crash if it is a suspect.
+    fn clear_suspicion(&mut self) {
+        if self.suspected || self.is_isolated() {
+            let fingerprint = self.job.outgoing.fingerprint();
+            self.gateway.quarantine().record_success(fingerprint, Instant::now().into_std());
+            self.suspected = false;
+        }
+    }
+
+    fn is_isolated(&self) -> bool {
+        self.job.isolated || self.isolation.is_some()
+    }
+
     /// Returns whether the request may be sent once more. A request that is not idempotent must not
-    /// be sent after a leaf may have run it.
+    /// be sent after a leaf may have run it, and a suspect only when it runs isolated.
     fn may_send_again(&self) -> bool {
         let might_run_twice = self.failure.may_have_run && !self.job.idempotent;
-        !might_run_twice && self.attempts.allows_send()
+        !might_run_twice && !self.suspected && self.attempts.allows_send()
     }
 
     fn may_hedge(&self) -> bool {
-        self.job.idempotent && self.may_send_again()
+        self.job.idempotent && !self.is_isolated() && self.may_send_again()
+    }
+
+    /// Sends the request again when none is in flight; returns the time at which it is hedged, or
+    /// `None` if it was not sent.
+    async fn resume(&mut self) -> Option<Instant> {
+        if self.suspected { self.run_isolated().await } else { self.retry_rejected().await }
+    }
+
+    /// Runs a request isolated with which a leaf crashed. A second crash is final.
+    async fn run_isolated(&mut self) -> Option<Instant> {
+        if !self.job.idempotent || self.is_isolated() {
+            return None;
+        }
+        let fingerprint = self.job.outgoing.fingerprint();
+        let deadline = self.job.deadline.min(Instant::now() + quarantine::SUSPECT_WAIT_MAX);
+        match self.gateway.quarantine().isolate(fingerprint, true, deadline).await {
+            Turn::Isolated(isolation) => self.isolation = Some(isolation),
+            Turn::Cleared => {}
+            Turn::Refused { .. } | Turn::TimedOut => return None,
+        }
+        self.suspected = false;
+        self.may_send_again().then(|| self.send("crashed")).flatten()
     }
 
     /// Sends the request again after a delay, also to leafs that rejected it or could not be
     /// reached, as long as the limits on attempts, the target time and the budget of extra requests
-    /// allow. Returns whether the request was sent.
-    async fn retry_rejected(&mut self) -> bool {
+    /// allow. Returns the time at which it is hedged if it was sent.
+    async fn retry_rejected(&mut self) -> Option<Instant> {
         while self.may_send_again()
             && self.failure.reason != Reason::NoLeaf
             && Instant::now() + REJECTED_RETRY_DELAY < self.job.answer_at
         {
             tokio::time::sleep(REJECTED_RETRY_DELAY).await;
             self.attempts.clear_rejections();
-            if self.send("rejected").is_some() {
-                return true;
+            if let Some(at) = self.send("rejected") {
+                return Some(at);
             }
             if !self.gateway.quotas().allows(&self.job.service) {
-                return false;
+                return None;
             }
         }
-        false
+        None
     }
 
     /// Sends the request to a leaf; every send but the first is an extra request. Returns the time
@@ -272,6 +361,9 @@
             self.gateway.metrics().record_resend(cause);
         }
         self.attempts.record_send(&id);
+        if self.is_isolated() {
+            self.isolated_leafs.push(IsolatedLeaf::new(&leaf));
+        }
         self.pending.push(leaf.clone());
         let context = Context {
             names: self.gateway.names().clone(),
@@ -291,17 +383,21 @@
         Some(now + delay)
     }
 
-    /// Chooses among the leafs that were not tried, or else among those that failed.
+    /// Chooses among the leafs that were not tried, or else among those that failed. An isolated run
+    /// goes to a leaf without another one if there is such a leaf, so that a crash has one suspect.
     fn choose(&self, now: Instant) -> Option<(Arc<Leaf>, Expected)> {
-        self.choose_among(now, |leaf| self.attempts.allows_new_leaf(leaf))
-            .or_else(|| self.choose_among(now, |leaf| self.attempts.allows_repeat(leaf)))
+        let is_free = |leaf: &Leaf| !self.is_isolated() || !leaf.runs_isolated();
+        let is_new = |leaf: &LeafId| self.attempts.allows_new_leaf(leaf);
+        self.choose_among(now, |leaf, id| is_free(leaf) && is_new(id))
+            .or_else(|| self.choose_among(now, |_, id| is_new(id)))
+            .or_else(|| self.choose_among(now, |_, id| self.attempts.allows_repeat(id)))
     }
 
     /// Chooses the leaf that is expected to answer first among those that `allow` accepts.
     fn choose_among(
         &self,
         now: Instant,
-        allow: impl Fn(&LeafId) -> bool,
+        allow: impl Fn(&Leaf, &LeafId) -> bool,
     ) -> Option<(Arc<Leaf>, Expected)> {
         let now = now.into_std();
         let service_times = self.gateway.service_time(&self.job.service);
@@ -312,7 +408,7 @@
         for leaf in usable {
             let (id, domain, slots) = leaf
                 .with_entry(|entry| (entry.id.clone(), entry.failure_domain.clone(), entry.slots));
-            if !allow(&id) {
+            if !allow(&leaf, &id) {
                 continue;
             }
             let round_trip = self.gateway.round_trips().estimate(&domain);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,16 +13,23 @@
 use jaycrank_policy::extra_requests::Quota;
 use jaycrank_policy::overload::Shedder;
 use jaycrank_policy::placement::ServiceTime;
+use jaycrank_policy::quarantine::Quarantine;
+use jaycrank_policy::recent_success::RecentSuccesses;
 use jaycrank_policy::shard_throttle;
 use jaycrank_policy::shard_throttle::Throttle;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use tokio::time::Instant;
 
+use crate::attempt::Outgoing;
 use crate::directory::Directory;
 use crate::header::Names;
 use crate::metrics::Metrics;
 use crate::round_trip::Estimator;
 
+/// Most suspects that run isolated at a time. They run at different leafs where possible.
+const ISOLATED_RUNS_MAX: usize = 8;
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -69,6 +76,14 @@
         domains.map(|(domain, _)| domain.clone()).chain([self.failure_domain.clone()]).collect()
     }
 
+    /// Returns the name by which other instances know this one in the quarantine.
+    fn quarantine_name(&self) -> SmolStr {
+        match self.peer_listen {
+            Some(address) => format_smolstr!("{address}"),
+            None => self.name.clone(),
+        }
+    }
+
     /// Returns the assumed fleet, with equally many instances in each failure domain.
     fn assumed_fleet_size(&self) -> FleetSize {
         let domains = self.regions.len().max(1);
@@ -206,6 +221,8 @@
     caller_round_trip: Duration,
     service_times: Mutex<BTreeMap<SmolStr, ServiceTime>>,
     shedder: Shedder,
+    quarantine: Quarantine,
+    successes: RecentSuccesses,
     metrics: Metrics,
 }
 
@@ -226,6 +243,9 @@
             caller_round_trip: options.caller_round_trip,
             service_times: Mutex::default(),
             shedder: Shedder::new(),
+            quarantine: Quarantine::new(options.quarantine_name())
+                .with_isolated_max(ISOLATED_RUNS_MAX),
+            successes: RecentSuccesses::new(),
             metrics: Metrics::new()?,
         })
     }
@@ -265,6 +285,25 @@
         &self.shedder
     }
 
+    /// Records that a request succeeded, which shows that it does not crash leafs.
+    pub fn record_success(&self, request: &Outgoing) {
+        let now = Instant::now().into_std();
+        self.successes.record(self.successes.key(request), now);
+        if !self.quarantine.is_empty() {
+            self.quarantine.record_success(request.fingerprint(), now);
+        }
+    }
+
+    /// Returns whether the same request of the same caller succeeded within the last second.
+    pub fn has_just_succeeded(&self, request: &Outgoing) -> bool {
+        self.successes.contains(self.successes.key(request), Instant::now().into_std())
+    }
+
+    /// Returns the requests that are suspected of crashing leafs.
+    pub fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
     /// Returns the counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -1,9 +1,11 @@
 //! One leaf: its catalog entry, its connections and its statistics.
 
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
@@ -26,6 +28,26 @@
     /// Catalog revision of the last known change of the entry.
     revision: AtomicU64,
     pool: Pool,
+    /// Number of isolated runs at the leaf.
+    isolated_runs: AtomicUsize,
+}
+
+/// Mark of a leaf at which a suspect runs isolated, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct IsolatedLeaf(Arc<Leaf>);
+
+impl IsolatedLeaf {
+    /// Marks a leaf.
+    pub(crate) fn new(leaf: &Arc<Leaf>) -> Self {
+        leaf.isolated_runs.fetch_add(1, Ordering::Relaxed);
+        Self(leaf.clone())
+    }
+}
+
+impl Drop for IsolatedLeaf {
+    fn drop(&mut self) {
+        self.0.isolated_runs.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Leaf {
@@ -38,6 +60,7 @@
             stats: Mutex::new(stats),
             revision: AtomicU64::new(revision),
             entry: Mutex::new(entry),
+            isolated_runs: AtomicUsize::new(0),
         }
     }
 
@@ -87,6 +110,11 @@
         lock(&self.stats)
     }
 
+    /// Returns whether a suspect runs isolated at the leaf.
+    pub(crate) fn runs_isolated(&self) -> bool {
+        self.isolated_runs.load(Ordering::Relaxed) > 0
+    }
+
     /// Returns the connection pool of the leaf.
     pub fn pool(&self) -> &Pool {
         &self.pool
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //! forwards them unchanged: to one leaf of a service, or to one leaf of each shard, whose parts it
 //! merges. [`server`] holds the connections of callers, [`request`] and [`answer`] decode and
 //! encode messages, [`query`] runs one request, [`fetch`] obtains one answer from the leafs of one
-//! service, [`attempt`] sends one request over one connection of a [`pool`].
+//! service, [`attempt`] sends one request over one connection of a [`pool`]. [`quarantine`] keeps
+//! requests that crash leafs from reaching more of them.
 //!
 //! The configuration ([`config`]: routes and services) and leaf entries come from a [`Catalog`].
 //! [`follow`] keeps the [`directory`] of both up to date, and [`peer`] exchanges them among
@@ -33,6 +34,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod pool;
+pub mod quarantine;
 pub mod query;
 pub mod relay;
 pub mod report;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -29,11 +29,13 @@
 use crate::peer;
 use crate::peer::Peers;
 use crate::peer::Responder;
+use crate::quarantine;
 use crate::query;
 use crate::relay::Relay;
 use crate::server;
 use crate::server::Connections;
 use crate::server::Handler;
+use crate::server::Origin;
 use crate::server::Phase;
 
 /// Time after which the load balancer sends no new connections: it probes each second and removes
@@ -64,8 +66,8 @@
 
 #[async_trait]
 impl Handler for CallerHandler {
-    async fn handle(&self, request: Request<Incoming>, first: bool) -> Reply {
-        query::answer(&self.0, request, first).await
+    async fn handle(&self, request: Request<Incoming>, origin: Origin) -> Reply {
+        query::answer(&self.0, request, origin).await
     }
 
     fn limits(&self) -> Limits {
@@ -103,6 +105,7 @@
             let peers = Arc::new(peers);
             let responder = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
             server::listen(listen, Arc::new(responder), phases).await?;
+            tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(peer::poll_peers(
                 gateway.clone(),
                 peers.clone(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -25,6 +25,7 @@
     resent: Counter<u64>,
     catalog_calls: Counter<u64>,
     exchanged_leafs: Counter<u64>,
+    leaf_crashes: Counter<u64>,
     latency: Histogram<f64>,
     /// Number of requests by outcome, for the state dump.
     outcomes: Mutex<BTreeMap<&'static str, u64>>,
@@ -55,6 +56,12 @@
             .u64_counter("jaycrank_exchanged_leafs")
             .with_description("Entries of leafs heard from other instances, by their relation")
             .build();
+        let leaf_crashes = meter
+            .u64_counter("jaycrank_leaf_crashes")
+            .with_description(
+                "Crashes of leafs with a request in flight, by whether it ran isolated",
+            )
+            .build();
         let latency = meter
             .f64_histogram("jaycrank_request")
             .with_unit("s")
@@ -67,6 +74,7 @@
             resent,
             catalog_calls,
             exchanged_leafs,
+            leaf_crashes,
             latency,
             outcomes: Mutex::default(),
         })
@@ -102,6 +110,11 @@
         self.exchanged_leafs.add(leafs as u64, &[KeyValue::new("relation", relation)]);
     }
 
+    /// Counts a leaf that crashed with a request in flight.
+    pub fn record_leaf_crash(&self, isolated: bool) {
+        self.leaf_crashes.add(1, &[KeyValue::new("isolated", isolated)]);
+    }
+
     /// Encodes all values in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -46,7 +46,10 @@
 use crate::directory::Directory;
 use crate::follow::Connectivity;
 use crate::gateway::Gateway;
+use crate::quarantine;
+use crate::quarantine::QUARANTINE_PATH;
 use crate::server::Handler;
+use crate::server::Origin;
 
 /// HTTP path of an exchange.
 const EXCHANGE_PATH: &str = "/exchange";
@@ -203,6 +206,11 @@
         same.map(|(address, _)| *address).collect()
     }
 
+    /// Returns the addresses of all other instances.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.lock().keys().copied().collect()
+    }
+
     /// Returns the number of instances, including this one.
     pub fn fleet_size(&self) -> FleetSize {
         let peers = self.lock();
@@ -340,17 +348,25 @@
 
 #[async_trait]
 impl Handler for Responder {
-    async fn handle(&self, request: Request<Incoming>, _first: bool) -> Reply {
+    async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
+        let is_exchange = request.uri().path() == QUARANTINE_PATH;
         let body = match Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await {
             Ok(body) => body.to_bytes(),
             Err(_) => return reply(StatusCode::BAD_REQUEST, Vec::new()),
         };
-        let Ok(poll) = rmp_serde::from_slice(&body) else {
-            return reply(StatusCode::BAD_REQUEST, Vec::new());
+        let response = if is_exchange {
+            rmp_serde::from_slice(&body)
+                .map(|exchange| rmp_serde::to_vec(&quarantine::respond(&self.gateway, exchange)))
+        } else {
+            match rmp_serde::from_slice(&body) {
+                Ok(poll) => Ok(rmp_serde::to_vec(&self.respond(&poll).await)),
+                Err(error) => Err(error),
+            }
         };
-        match rmp_serde::to_vec(&self.respond(&poll).await) {
-            Ok(body) => reply(StatusCode::OK, body),
-            Err(_) => reply(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+        match response {
+            Ok(Ok(body)) => reply(StatusCode::OK, body),
+            Ok(Err(_)) => reply(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+            Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
         }
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connection pool of one leaf.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -29,6 +30,9 @@
 /// Timeout for opening a connection. A lost SYN packet is retransmitted only after one second; by
 /// then another leaf should have been tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Timeout for finding out whether a leaf whose connection broke has ended. The request waits for it
+/// before it is sent again.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Margin below the idle timeout of the leaf. A connection that is reused later could be closed by
 /// the leaf while the request is on its way.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
@@ -78,6 +82,8 @@
     semaphore: Arc<Semaphore>,
     capacity: Mutex<Capacity>,
     idle: Mutex<Vec<Connection>>,
+    /// Start of the last probe, and whether the leaf refused the connection.
+    probe: tokio::sync::Mutex<Option<(Instant, bool)>>,
 }
 
 /// Connection limit of a pool, and the number of permits issued for it.
@@ -111,6 +117,7 @@
             semaphore: Arc::new(Semaphore::new(permits)),
             capacity: Mutex::new(Capacity { limit, permits }),
             idle: Mutex::default(),
+            probe: tokio::sync::Mutex::default(),
         }
     }
 
@@ -168,13 +175,7 @@
         connection.idle_since = Instant::now();
         connection.idle_until = connection.idle_since
             + idle_time.unwrap_or(connections::IDLE_TIMEOUT).min(connections::IDLE_TIMEOUT);
-        let mut idle = self.lock();
-        // Idle connections hold no permits. Keeping no more of them than there are free permits
-        // bounds the open connections; the permit of this one is still held, hence the `+ 1`.
-        if idle.len() < self.semaphore.available_permits() + 1 {
-            idle.push(connection);
-        }
-        drop(idle);
+        self.keep_idle(connection, 1);
         drop(permit);
     }
 
@@ -196,6 +197,43 @@
         idle.extend(last.filter(|last| is_kept(last, true)));
     }
 
+    /// Returns whether the leaf refuses connections, which shows that its process has ended. Called
+    /// after a connection broke; calls at the same time share one probe. A connection that the
+    /// probe opens replaces the broken one.
+    pub(crate) async fn is_refused(&self) -> bool {
+        let called = Instant::now();
+        let mut last = self.probe.lock().await;
+        if let Some((started, refused)) = *last
+            && started >= called
+        {
+            return refused;
+        }
+        let started = Instant::now();
+        let refused = match timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await {
+            Ok(Ok(stream)) => {
+                if let Ok(connection) = set_up(stream).await {
+                    self.keep_idle(connection, 0);
+                }
+                false
+            }
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            // The leaf, or the network to it, is silent; nothing shows that the process has ended.
+            Err(_) => false,
+        };
+        *last = Some((started, refused));
+        refused
+    }
+
+    /// Keeps a connection for reuse unless there are more idle connections than free permits, of
+    /// which `reserved` are about to be released. Idle connections hold no permits, so this bounds
+    /// the open connections.
+    fn keep_idle(&self, connection: Connection, reserved: usize) {
+        let mut idle = self.lock();
+        if idle.len() < self.semaphore.available_permits() + reserved {
+            idle.push(connection);
+        }
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
@@ -221,6 +259,10 @@
 
 async fn open(address: SocketAddr) -> Result<Connection, Error> {
     let stream = TcpStream::connect(address).await.map_err(connect_error)?;
+    set_up(stream).await
+}
+
+async fn set_up(stream: TcpStream) -> Result<Connection, Error> {
     set_tcp_options(&stream).map_err(connect_error)?;
     let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(connect_error)?;
     // The result is ignored: an error of the connection is reported by the request that uses it.
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -11,11 +11,14 @@
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_policy::merge;
+use jaycrank_policy::quarantine::Isolation;
+use jaycrank_policy::quarantine::Turn;
 use jaycrank_policy::route;
 use jaycrank_policy::route::Route;
 use jaycrank_policy::route::Target;
 use jaycrank_policy::timing;
 use smol_str::SmolStr;
+use smol_str::format_smolstr;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
@@ -30,7 +33,9 @@
 use crate::fetch::Reason;
 use crate::fetch::fetch;
 use crate::gateway::Gateway;
+use crate::quarantine::SUSPECT_WAIT_MAX;
 use crate::request;
+use crate::server::Origin;
 
 /// Part of the caller's deadline that is reserved for sending the response.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
@@ -92,15 +97,13 @@
 }
 
 /// Routes a request, obtains its answer and returns the response.
-///
-/// `first` states whether it is the first request on its connection.
-pub async fn answer(gateway: &Gateway, request: Request<Incoming>, first: bool) -> Reply {
+pub async fn answer(gateway: &Gateway, request: Request<Incoming>, origin: Origin) -> Reply {
     let arrival = Instant::now();
     let Some(active) = gateway.directory().active() else {
         return refuse(gateway, "", Refusal::NotStarted, Some(RETRY_AFTER_BASE));
     };
     let limits = active.config().limits;
-    let received = match request::receive(request, gateway.names(), &limits).await {
+    let received = match request::receive(request, origin.peer, gateway.names(), &limits).await {
         Ok(received) => received,
         Err(request::Error::TooLarge) => return refuse(gateway, "", Refusal::TooLarge, None),
         Err(request::Error::BrokenOff) => return refuse(gateway, "", Refusal::BrokenOff, None),
@@ -116,7 +119,7 @@
         arrival.into_std(),
         route.target_latency,
         gateway.caller_round_trip(),
-        first,
+        origin.first,
     );
     let query = Query {
         gateway,
@@ -153,25 +156,81 @@
             completed: false,
         };
         let handled = match self.gateway.shedder().admit(self.route) {
-            Some(_admitted) => match &self.route.target {
-                Target::Split(split) => self.forward(split).await,
-                Target::Gather { services, top, coverage_min } => {
-                    self.gather(services, *top, *coverage_min).await
-                }
+            Some(_admitted) => match self.check_quarantine().await {
+                Ok(isolation) => self.dispatch(isolation.is_some()).await,
+                Err(retry_after) => self.quarantined(retry_after),
             },
             None => self.refused(Refusal::Overloaded, "processor", (0, 0), 0),
         };
         guard.completed = true;
+        // A partial answer says nothing about the leafs of the missing shards.
+        let is_complete = handled.coverage.0 == handled.coverage.1;
+        if is_complete && handled.reply.status().is_success() {
+            self.gateway.record_success(&self.outgoing);
+        }
         self.log(&handled);
         handled.reply
     }
 
+    /// Returns the permit to run a suspect isolated, or `None` for a request that is not suspected.
+    ///
+    /// # Errors
+    ///
+    /// Returns the retry delay of a request that must not run.
+    async fn check_quarantine(&self) -> Result<Option<Isolation>, Duration> {
+        let quarantine = self.gateway.quarantine();
+        if quarantine.is_empty() {
+            return Ok(None);
+        }
+        let fingerprint = self.outgoing.fingerprint();
+        let deadline = self.deadline.min(Instant::now() + SUSPECT_WAIT_MAX);
+        match quarantine.isolate(fingerprint, false, deadline).await {
+            Turn::Isolated(isolation) => Ok(Some(isolation)),
+            Turn::Cleared => Ok(None),
+            Turn::Refused { retry_after } => Err(retry_after),
+            Turn::TimedOut => Err(jitter(RETRY_AFTER_BASE)),
+        }
+    }
+
+    /// Refuses a suspect. The retry delay is not shortened to the caller's deadline: the request
+    /// is refused until then.
+    fn quarantined(&self, retry_after: Duration) -> Handled {
+        event!(
+            Event::RequestQuarantined,
+            request = self.outgoing.id,
+            route = self.route.name,
+            fingerprint = format_smolstr!("{:016x}", self.outgoing.fingerprint()),
+            retry_after_ms = retry_after.as_millis()
+        );
+        let refusal = Refusal::Quarantined;
+        let reply = refusal.reply(Some(retry_after));
+        let missing = String::new();
+        Handled {
+            reply,
+            result: Err(refusal),
+            reason: refusal.into(),
+            coverage: (0, 0),
+            missing,
+            sends: 0,
+        }
+    }
+
+    /// Sends the request to the leafs of its route.
+    async fn dispatch(&self, isolated: bool) -> Handled {
+        match &self.route.target {
+            Target::Split(split) => self.forward(split, isolated).await,
+            Target::Gather { services, top, coverage_min } => {
+                self.gather(services, *top, *coverage_min, isolated).await
+            }
+        }
+    }
+
     /// Forwards the request to one leaf of a service that is drawn by weight.
-    async fn forward(&self, split: &[(SmolStr, f64)]) -> Handled {
+    async fn forward(&self, split: &[(SmolStr, f64)], isolated: bool) -> Handled {
         let Some(service) = route::pick_service(split, rand::random()) else {
             return self.refused(Refusal::NotRun, Reason::NoLeaf.into(), (0, 1), 0);
         };
-        match fetch(self.gateway, &self.job(service)).await {
+        match fetch(self.gateway, &self.job(service, isolated)).await {
             Ok(Fetched { answer, sends }) => {
                 self.answered(answer::forwarded(answer), (1, 1), sends)
             }
@@ -188,17 +247,42 @@
         }
     }
 
-    /// Obtains a part from each service and merges them.
-    async fn gather(&self, services: &[SmolStr], top: usize, coverage_min: f64) -> Handled {
+    /// Obtains a part from each service and merges them. A suspect that runs isolated is sent to
+    /// the other services only after the first one has survived it.
+    async fn gather(
+        &self,
+        services: &[SmolStr],
+        top: usize,
+        coverage_min: f64,
+        isolated: bool,
+    ) -> Handled {
         let total = services.len();
         let left_out = self.gateway.throttles().leave_out(services, coverage_min);
         let queried = services.iter().enumerate().filter(|(index, _)| !left_out.contains(index));
-        let jobs: Vec<Job> = queried.map(|(_, service)| self.job(service)).collect();
+        let jobs: Vec<Job> = queried.map(|(_, service)| self.job(service, isolated)).collect();
         let mut unanswered = Unanswered::new(self.gateway, &jobs);
+        let mut fetched_first = match jobs.first() {
+            Some(job) if isolated => Some(fetch(self.gateway, job).await),
+            _ => None,
+        };
+        if let Some(Err(failure)) = &fetched_first
+            && failure.reason == Reason::Crashed
+        {
+            let reason = failure.reason;
+            return self.refused(refusal_after_run(reason), reason.into(), (0, total), 1);
+        }
         let mut fetches: FuturesUnordered<_> = jobs
             .iter()
             .enumerate()
-            .map(|(index, job)| async move { (index, fetch(self.gateway, job).await) })
+            .map(|(index, job)| {
+                let fetched = fetched_first.take();
+                async move {
+                    match fetched {
+                        Some(fetched) => (index, fetched),
+                        None => (index, fetch(self.gateway, job).await),
+                    }
+                }
+            })
             .collect();
         let mut parts: Vec<(Answer, HeaderValue)> = Vec::with_capacity(total);
         let mut answered_services = Vec::with_capacity(total);
@@ -254,11 +338,12 @@
             .with_missing(missing_services(services, &answered_services))
     }
 
-    fn job(&self, service: &SmolStr) -> Job {
+    fn job(&self, service: &SmolStr, isolated: bool) -> Job {
         Job {
             service: service.clone(),
             outgoing: self.outgoing.clone(),
             idempotent: self.route.idempotent,
+            isolated,
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
             deadline: self.deadline,
@@ -292,7 +377,9 @@
         let time = self.arrival.elapsed();
         let event = match handled.result {
             Ok(()) => Event::RequestAnswered,
-            Err(Refusal::Overloaded | Refusal::NotRun) => Event::RequestRefused,
+            Err(Refusal::Overloaded | Refusal::NotRun | Refusal::Quarantined) => {
+                Event::RequestRefused
+            }
             Err(_) => Event::RequestFailed,
         };
         event!(
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use jaycrank_http::Client;
+use jaycrank_policy::quarantine::Observation;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -48,6 +49,9 @@
     pub budgets: BTreeMap<SmolStr, f64>,
     /// Status of each leaf.
     pub leafs: Vec<LeafStatus>,
+    /// Requests that are suspected or refused because leafs crashed, by fingerprint in hexadecimal.
+    #[serde(default)]
+    pub quarantine: BTreeMap<SmolStr, Observation>,
 }
 
 /// Status of a leaf as an instance sees it.
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,5 +1,6 @@
 //! Reads the request of a caller.
 
+use std::net::IpAddr;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -47,6 +48,7 @@
 /// Returns [`Error`] if the body is too large, ends early or takes longer than the idle timeout.
 pub async fn receive(
     request: Request<Incoming>,
+    caller: IpAddr,
     names: &Names,
     limits: &Limits,
 ) -> Result<Received, Error> {
@@ -70,6 +72,6 @@
     headers.remove(header::EXPECT);
     headers.remove(&names.deadline_ms);
     headers.remove(&names.expected_leaf);
-    let outgoing = Outgoing { method: head.method, uri: head.uri, headers, body, id };
+    let outgoing = Outgoing { method: head.method, uri: head.uri, headers, body, id, caller };
     Ok(Received { host, outgoing, timeout })
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -44,13 +45,20 @@
     Closing,
 }
 
+/// Where a request came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Origin {
+    /// Address of the peer that sent it.
+    pub peer: IpAddr,
+    /// Whether it is the first request on its connection.
+    pub first: bool,
+}
+
 /// Handles the requests of a listener.
 #[async_trait]
 pub trait Handler: Send + Sync {
     /// Responds to a request. The future is dropped when the caller disconnects.
-    ///
-    /// `first` states whether it is the first request on its connection.
-    async fn handle(&self, request: Request<Incoming>, first: bool) -> Reply;
+    async fn handle(&self, request: Request<Incoming>, origin: Origin) -> Reply;
 
     /// Returns the limits that apply to a new connection.
     fn limits(&self) -> Limits {
@@ -130,19 +138,20 @@
     mut phase: watch::Receiver<Phase>,
     _open: OpenGuard,
 ) {
-    if set_tcp_options(&stream).is_err() {
+    let Ok((peer, ())) = stream.peer_addr().and_then(|peer| Ok((peer, set_tcp_options(&stream)?)))
+    else {
         // The peer has already closed the connection.
         return;
-    }
+    };
     let limits = handler.limits();
     let current = phase.clone();
     let is_unused = AtomicBool::new(true);
     let service = service_fn(move |request: Request<Incoming>| {
-        let first = is_unused.swap(false, Ordering::Relaxed);
+        let origin = Origin { peer: peer.ip(), first: is_unused.swap(false, Ordering::Relaxed) };
         let handler = handler.clone();
         let current = current.clone();
         async move {
-            let mut reply = handler.handle(request, first).await;
+            let mut reply = handler.handle(request, origin).await;
             if *current.borrow() > Phase::Serving {
                 let close = HeaderValue::from_static("close");
                 reply.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/tests/report.rs
+++ b/crates/gateway/tests/report.rs
@@ -54,6 +54,7 @@
         outcomes: BTreeMap::from([("complete".into(), 900), ("not-started".into(), 3)]),
         budgets: BTreeMap::from([("db".into(), 5.5), ("orders".into(), 0.25)]),
         leafs: seen.collect(),
+        quarantine: BTreeMap::new(),
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod quarantine;
 mod queue;
 mod rate;
+pub mod recent_success;
 pub mod rendezvous;
 pub mod replica;
 pub mod route;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -63,7 +63,7 @@
 /// Time between a crash and the isolated run of a request that was in flight, within which the
 /// reports of other instances arrive. Instances that get the request at the same moment would
 /// otherwise each crash a second leaf.
-const REPORT_TIME: Duration = Duration::from_millis(100);
+const REPORT_TIME: Duration = Duration::from_millis(250);
 
 /// Delay before a suspect checks again whether it may run isolated.
 const ISOLATION_RETRY_DELAY: Duration = Duration::from_millis(2);
@@ -457,16 +457,18 @@
         self.changed.notify_one();
     }
 
-    /// Records that the isolated run of a suspect succeeded.
+    /// Records that a run of a suspect succeeded. It also ends a refusal without an isolated run.
     pub fn record_success(&self, fingerprint: Fingerprint, now: Instant) {
         let mut inner = lock(&self.inner);
-        if let Some(entry) = inner.entries.get_mut(&fingerprint)
-            && entry.observation.state == State::Suspect
-        {
-            entry.observation.state = State::Cleared;
-            entry.observation.leafs.clear();
-            entry.changed_at = now;
+        let Some(entry) = inner.entries.get_mut(&fingerprint) else { return };
+        match (entry.observation.state, &entry.observation.crashed) {
+            (State::Suspect, _) => {}
+            (State::Refused, None) => entry.suspect_again(now),
+            (State::Cleared, _) | (State::Refused, Some(_)) => return,
         }
+        entry.observation.state = State::Cleared;
+        entry.observation.leafs.clear();
+        entry.changed_at = now;
         drop(inner);
         self.changed.notify_one();
     }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -14,9 +14,14 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+/// Interval at which a crashed server tries to listen again.
+const REBIND_INTERVAL: Duration = Duration::from_millis(10);
+
 /// How a server handles the requests that follow.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reaction {
@@ -40,6 +45,84 @@
     CloseDelimited(Vec<u8>),
     /// Runs the request and never answers.
     Hang,
+    /// Runs the request and sends bytes of this kind until the connection closes.
+    Endless(Endless),
+}
+
+/// Part of a response that never ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// Header lines.
+    Head,
+    /// A single header line.
+    HeadLine,
+    /// A body without a length.
+    Body,
+    /// Chunks of a body.
+    Chunks,
+    /// A single chunk, whose size is the largest that can be stated.
+    Chunk,
+    /// A body of bytes that are sent one by one, with a pause after each.
+    SlowBody,
+}
+
+/// Bytes of an endless part that are written at a time.
+const ENDLESS_WRITE_BYTES: usize = 16 << 10;
+/// Pause after each byte of [`Endless::SlowBody`].
+const SLOW_BYTE_PAUSE: Duration = Duration::from_millis(10);
+
+impl Endless {
+    /// Returns the start of the response, and the bytes that are repeated after it.
+    fn parts(self) -> (&'static str, Vec<u8>) {
+        let fill = |unit: &[u8]| unit.repeat(ENDLESS_WRITE_BYTES / unit.len());
+        match self {
+            Self::Head => ("HTTP/1.1 200 OK\r\n", fill(b"x-filler: 0123456789\r\n")),
+            Self::HeadLine => ("HTTP/1.1 200 OK\r\nx-filler: ", fill(b"0")),
+            Self::Body => ("HTTP/1.1 200 OK\r\n\r\n", fill(b"0")),
+            Self::Chunks => {
+                ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", fill(b"4\r\n0123\r\n"))
+            }
+            Self::Chunk => (
+                "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nfffffffffffffff0\r\n",
+                fill(b"0"),
+            ),
+            Self::SlowBody => ("HTTP/1.1 200 OK\r\n\r\n", vec![b'0']),
+        }
+    }
+
+    /// Writes the response until the peer closes the connection.
+    async fn write(self, stream: &mut TcpStream) -> std::io::Result<()> {
+        let (start, repeated) = self.parts();
+        stream.write_all(start.as_bytes()).await?;
+        loop {
+            stream.write_all(&repeated).await?;
+            if self == Self::SlowBody {
+                sleep(SLOW_BYTE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Requests that crash a server, and how it crashes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Text in the request line of the requests that crash it.
+    pub target: String,
+    /// What the connections show.
+    pub manner: Manner,
+    /// Time until the server accepts connections again.
+    pub downtime: Duration,
+}
+
+/// What the connection of a request shows when the server crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// It is closed.
+    Close,
+    /// It is reset.
+    Reset,
+    /// It is closed within the body of the response.
+    Partial,
 }
 
 /// A request as the server received it.
@@ -58,14 +141,41 @@
     reaction: Reaction,
     executed: Vec<Request>,
     open_connections: usize,
+    crash: Option<Crash>,
+    crashes: u64,
 }
 
-/// An HTTP leaf on loopback. Dropping it closes its listener, but no open connection.
+/// Parts that the tasks of a server share.
 #[derive(Debug)]
-pub struct Server {
+struct Shared {
     id: SmolStr,
+    names: Names,
+    state: Mutex<State>,
+    /// Notified when the server is to crash.
+    crashed: Notify,
+}
+
+/// Guard that counts a connection as open until it is dropped.
+struct OpenGuard(Arc<Shared>);
+
+impl OpenGuard {
+    fn new(shared: &Arc<Shared>) -> Self {
+        lock(&shared.state).open_connections += 1;
+        Self(shared.clone())
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        lock(&self.0.state).open_connections -= 1;
+    }
+}
+
+/// An HTTP leaf on loopback. Dropping it closes its listener and its connections.
+#[derive(Debug)]
+pub struct Server {
     address: SocketAddr,
-    state: Arc<Mutex<State>>,
+    shared: Arc<Shared>,
     task: JoinHandle<()>,
 }
 
@@ -95,15 +205,16 @@
         let address = listener.local_addr()?;
         let reaction = Reaction::Answer(id.as_bytes().to_vec(), Duration::ZERO);
         let state =
-            Arc::new(Mutex::new(State { reaction, executed: Vec::new(), open_connections: 0 }));
-        let id = SmolStr::new(id);
-        let task = tokio::spawn(accept(listener, id.clone(), Arc::new(names), state.clone()));
-        Ok(Self { id, address, state, task })
+            State { reaction, executed: Vec::new(), open_connections: 0, crash: None, crashes: 0 };
+        let state = Mutex::new(state);
+        let shared = Arc::new(Shared { id: id.into(), names, state, crashed: Notify::new() });
+        let task = tokio::spawn(run(listener, address, shared.clone()));
+        Ok(Self { address, shared, task })
     }
 
     /// Returns the id of the server.
     pub fn id(&self) -> &SmolStr {
-        &self.id
+        &self.shared.id
     }
 
     /// Returns the address at which the server listens.
@@ -113,39 +224,81 @@
 
     /// Changes how the server handles the requests that follow.
     pub fn set_reaction(&self, reaction: Reaction) {
-        lock(&self.state).reaction = reaction;
+        lock(&self.shared.state).reaction = reaction;
     }
 
     /// Returns the requests that the server has run, in the order of their arrival.
     pub fn executed(&self) -> Vec<Request> {
-        lock(&self.state).executed.clone()
+        lock(&self.shared.state).executed.clone()
+    }
+
+    /// Sets the requests that crash the server.
+    pub fn set_crash(&self, crash: Option<Crash>) {
+        lock(&self.shared.state).crash = crash;
+    }
+
+    /// Crashes the server without a request; it is down for the time that
+    /// [`set_crash`](Self::set_crash) set.
+    pub fn crash(&self) {
+        self.shared.crashed.notify_one();
+    }
+
+    /// Returns the number of crashes.
+    pub fn crashes(&self) -> u64 {
+        lock(&self.shared.state).crashes
     }
 
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
-        lock(&self.state).open_connections
+        lock(&self.shared.state).open_connections
+    }
+}
+
+/// Serves until the server is dropped. A crash closes the listener and all connections; the server
+/// then starts again at the same address.
+async fn run(mut listener: TcpListener, address: SocketAddr, shared: Arc<Shared>) {
+    loop {
+        accept(listener, &shared).await;
+        let downtime = {
+            let mut state = lock(&shared.state);
+            state.crashes += 1;
+            state.crash.as_ref().map(|crash| crash.downtime).unwrap_or_default()
+        };
+        sleep(downtime).await;
+        listener = loop {
+            match TcpListener::bind(address).await {
+                Ok(listener) => break listener,
+                Err(_) => sleep(REBIND_INTERVAL).await,
+            }
+        };
     }
 }
 
-async fn accept(listener: TcpListener, id: SmolStr, names: Arc<Names>, state: Arc<Mutex<State>>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        let (id, names, state) = (id.clone(), names.clone(), state.clone());
-        tokio::spawn(async move {
-            lock(&state).open_connections += 1;
-            // The peer may close the connection at any moment.
-            let _ = serve(stream, &id, &names, &state).await;
-            lock(&state).open_connections -= 1;
-        });
+/// Accepts connections until the server crashes.
+async fn accept(listener: TcpListener, shared: &Arc<Shared>) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            biased;
+            () = shared.crashed.notified() => break,
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let shared = shared.clone();
+                connections.spawn(async move {
+                    let _open = OpenGuard::new(&shared);
+                    // The peer may close the connection at any moment.
+                    let _ = serve(stream, &shared).await;
+                });
+            }
+        }
     }
+    drop(listener);
+    connections.shutdown().await;
 }
 
 /// Serves one connection. A request meant for another leaf gets status 421.
-async fn serve(
-    mut stream: TcpStream,
-    id: &str,
-    names: &Names,
-    state: &Mutex<State>,
-) -> std::io::Result<()> {
+async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
+    let Shared { id, names, state, crashed } = shared;
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let reaction = lock(state).reaction.clone();
@@ -155,7 +308,7 @@
         let mismatched = headers(names, id, "another");
         let not_run = format!("{matching}{}: 1\r\n", names.not_run);
         let expected = request.headers.get(names.expected_leaf.as_str());
-        let expected = expected.is_none_or(|expected| expected == id);
+        let expected = expected.is_none_or(|expected| expected == id.as_str());
         if !expected {
             stream.write_all(&response(421, b"", "")).await?;
             continue;
@@ -164,8 +317,24 @@
             stream.write_all(&response(status, b"", &not_run)).await?;
             continue;
         }
+        let crash = lock(state).crash.clone();
+        let crash = crash.filter(|crash| request.target.contains(&crash.target));
         lock(state).executed.push(request);
+        if let Some(crash) = crash {
+            match crash.manner {
+                Manner::Close => {}
+                Manner::Reset => stream.set_zero_linger()?,
+                Manner::Partial => {
+                    let whole = response(200, &[7; 64], &matching);
+                    stream.write_all(&whole[..whole.len() - 20]).await?;
+                }
+            }
+            crashed.notify_one();
+            // The crash aborts this task, which closes the connection.
+            return std::future::pending().await;
+        }
         match reaction {
+            Reaction::Endless(part) => return part.write(&mut stream).await,
             Reaction::Answer(body, time) => {
                 // A client that cancels the request closes the connection, which ends the work.
                 let mut byte = [0];
