Count a leaf that rejects a repeat among those that may have run the request

Cause: a rejection removed the leaf from the set that the limit counts, also when the leaf had lost the answer to an earlier send and may have run it. A further leaf was then allowed.

Evidence: the new test and the random test, which so far left this sequence out, fail on the code before (three leafs for a limit of two). Both pass now. The random test is stricter: a leaf that ran the request may reject a repeat of it.

--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -19,8 +19,10 @@
     leafs_max: usize,
     sends: u32,
     rejections: u32,
-    /// Leafs that may have run the request.
+    /// Leafs that may have run the request, or at which it is in flight.
     used: BTreeSet<SmolStr>,
+    /// Leafs that failed and may have run the request. A rejection of a repeat does not change that.
+    failed: BTreeSet<SmolStr>,
     /// Leafs at which the request is in flight.
     in_flight: BTreeSet<SmolStr>,
     /// Leafs that have rejected the request since the last pause.
@@ -44,13 +46,16 @@
     pub fn record_rejection(&mut self, leaf: &SmolStr) {
         self.rejections += 1;
         self.in_flight.remove(leaf);
-        self.used.remove(leaf);
+        if !self.failed.contains(leaf) {
+            self.used.remove(leaf);
+        }
         self.rejected.insert(leaf.clone());
     }
 
     /// Records that a leaf failed and may have run the request.
     pub fn record_failure(&mut self, leaf: &SmolStr) {
         self.in_flight.remove(leaf);
+        self.failed.insert(leaf.clone());
     }
 
     /// Allows sending the request again to leafs that rejected it; called after a pause.
@@ -78,6 +83,7 @@
 
     /// Returns whether a leaf that failed may get the request again.
     pub fn allows_repeat(&self, leaf: &SmolStr) -> bool {
-        self.used.contains(leaf) && !self.in_flight.contains(leaf)
+        let is_idle = !self.in_flight.contains(leaf) && !self.rejected.contains(leaf);
+        self.used.contains(leaf) && is_idle
     }
 }
--- a/crates/policy/tests/attempts.rs
+++ b/crates/policy/tests/attempts.rs
@@ -34,10 +34,11 @@
                 0 => {}
                 1 => attempts.record_failure(&leaf),
                 2 => attempts.clear_rejections(),
-                _ if ran_before => attempts.record_failure(&leaf),
                 _ => {
                     attempts.record_rejection(&leaf);
-                    may_have_run.remove(&leaf);
+                    if !ran_before {
+                        may_have_run.remove(&leaf);
+                    }
                 }
             }
             assert!(may_have_run.len() <= LEAFS_MAX, "{may_have_run:?}");
@@ -46,6 +47,22 @@
     });
 }
 
+/// A leaf loses the answer, gets the request again and rejects it. Guards against counting it as a leaf
+/// that did not run the request, so that more leafs run it than the route allows.
+#[test]
+fn leaf_that_rejects_a_repeat_still_counts() {
+    let (first, second, third) = (leaf(0), leaf(1), leaf(2));
+    let mut attempts = Attempts::new(LEAFS_MAX as u32);
+    for leaf in [&first, &second] {
+        attempts.record_send(leaf);
+        attempts.record_failure(leaf);
+    }
+    attempts.record_send(&first);
+    attempts.record_rejection(&first);
+    assert!(!attempts.allows_new_leaf(&third));
+    assert!(attempts.allows_repeat(&second));
+}
+
 /// Both leafs that a route allows fail to answer. Guards against giving up although a repeat may
 /// succeed, and against sending the request to a third leaf.
 #[test]
