Bound the memory of leafs' answers and the time of a peer's message

Cause: an answer without end was bounded by 8 MiB each and by the deadline, but not over all requests: 24 callers at a leaf that sends a body without end took a process to 65 MB, and 24 slower ones could hold 192 MiB of the 260 MB that an instance has. The listener for peers waited without end for the rest of a body.

Change: bodies that are being read reserve from 48 MiB for the process; the one that exceeds it fails, as does its leaf. Small chunks are copied together, so that each doesn't keep a buffer of its own. A peer's body must arrive within 2 s. The deadline header is set again when a request waited for a new connection, so that no repeat carries more time than is left; that case has no test, as it needs a connection that closes at the moment of sending.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -29,6 +28,8 @@
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
+use crate::answer_memory::AnswerMemory;
+use crate::answer_memory::Reservation;
 use crate::header::Names;
 use crate::header::number;
 use crate::header::text;
@@ -160,6 +161,8 @@
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Memory that the bodies of answers take.
+    pub answer_memory: Arc<AnswerMemory>,
 }
 
 /// Outcome of an attempt, with the service time if the leaf answered.
@@ -202,7 +205,9 @@
                             return (Outcome::NotSent(format_smolstr!("{error}")), None);
                         }
                     };
+                    // Waiting for the connection took time, so the deadline header is set again.
                     request = unsent;
+                    set_deadline(&mut request, &context);
                 }
                 Some(_) => {
                     observation.fail();
@@ -239,9 +244,13 @@
         // The connection is dropped: what it still holds belongs to another request.
         return (Outcome::Lost("response to another request".into()), None);
     }
-    let body = match Limited::new(body, ANSWER_BYTES_MAX).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
+    let body = match read_body(body, &context.answer_memory).await {
+        Ok(body) => body,
+        Err(BodyError::TooLarge) => {
+            observation.fail();
+            return (Outcome::Lost("response body too large".into()), None);
+        }
+        Err(BodyError::Incomplete(error)) => {
             observation.fail();
             drop(lease);
             let detail = format_smolstr!("response body incomplete: {error}");
@@ -287,14 +296,49 @@
     if leaf.pool().is_refused().await { Outcome::Crashed(detail) } else { Outcome::Lost(detail) }
 }
 
+/// Failure to read the body of an answer.
+enum BodyError {
+    /// The body, or all bodies together, exceed their bound.
+    TooLarge,
+    /// The connection broke.
+    Incomplete(hyper::Error),
+}
+
+/// Reads a whole body within the bounds on one body and on all of them.
+async fn read_body(body: Incoming, memory: &Arc<AnswerMemory>) -> Result<Bytes, BodyError> {
+    let mut reservation = Reservation::new(memory);
+    let mut body = body;
+    let mut first = Bytes::new();
+    let mut whole = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(BodyError::Incomplete)?.into_data() else { continue };
+        if !reservation.try_grow(data.len()) || reservation.bytes() > ANSWER_BYTES_MAX {
+            return Err(BodyError::TooLarge);
+        }
+        // Most bodies are a single frame, which needs no copy.
+        if first.is_empty() && whole.is_empty() {
+            first = data;
+        } else {
+            whole.extend_from_slice(&std::mem::take(&mut first));
+            whole.extend_from_slice(&data);
+        }
+    }
+    Ok(if whole.is_empty() { first } else { whole.into() })
+}
+
+fn set_deadline(request: &mut Request<Full<Bytes>>, context: &Context) {
+    let remaining = context.deadline.saturating_duration_since(Instant::now());
+    let value = (remaining.as_millis() as u64).max(1).into();
+    request.headers_mut().insert(context.names.deadline_ms.clone(), value);
+}
+
 fn build_request(leaf: &Leaf, outgoing: &Outgoing, context: &Context) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.uri.clone();
     *request.headers_mut() = outgoing.headers.clone();
-    let remaining = context.deadline.saturating_duration_since(Instant::now());
+    set_deadline(&mut request, context);
     let headers = request.headers_mut();
-    headers.insert(context.names.deadline_ms.clone(), (remaining.as_millis() as u64).max(1).into());
     leaf.with_entry(|entry| insert_header(headers, &context.names.expected_leaf, &entry.id));
     // An empty body keeps the Content-Length that the caller sent, if any.
     if !outgoing.body.is_empty() {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -370,6 +370,7 @@
             round_trips: self.gateway.round_trips().clone(),
             deadline: self.job.deadline,
             idempotent: self.job.idempotent,
+            answer_memory: self.gateway.answer_memory().clone(),
         };
         let completion = send_request(leaf.clone(), self.job.outgoing.clone(), context);
         self.in_flight.push(async move { (leaf, completion.await) }.boxed());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,6 +21,7 @@
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
+use crate::answer_memory::AnswerMemory;
 use crate::attempt::Outgoing;
 use crate::directory::Directory;
 use crate::header::Names;
@@ -223,6 +224,7 @@
     shedder: Shedder,
     quarantine: Quarantine,
     successes: RecentSuccesses,
+    answer_memory: Arc<AnswerMemory>,
     metrics: Metrics,
 }
 
@@ -246,6 +248,7 @@
             quarantine: Quarantine::new(options.quarantine_name())
                 .with_isolated_max(ISOLATED_RUNS_MAX),
             successes: RecentSuccesses::new(),
+            answer_memory: Arc::default(),
             metrics: Metrics::new()?,
         })
     }
@@ -304,6 +307,11 @@
         &self.quarantine
     }
 
+    /// Returns the memory that the bodies of leafs' answers take.
+    pub fn answer_memory(&self) -> &Arc<AnswerMemory> {
+        &self.answer_memory
+    }
+
     /// Returns the counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub mod admin;
 pub mod answer;
+pub mod answer_memory;
 pub mod attempt;
 pub mod catalog;
 pub mod config;
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -33,6 +33,7 @@
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::answer::Reply;
@@ -77,6 +78,8 @@
 const POLL_WAIT_MAX: Duration = Duration::from_secs(10);
 /// Largest message, in bytes.
 const MESSAGE_BYTES_MAX: usize = 4 << 20;
+/// Timeout for receiving the body of a message.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an instance is forgotten if none has received an exchange from it.
 const PEER_EXPIRY: Duration = Duration::from_secs(45);
 /// Most instances in one list, a random sample if there are more.
@@ -350,9 +353,10 @@
 impl Handler for Responder {
     async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
         let is_exchange = request.uri().path() == QUARANTINE_PATH;
-        let body = match Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(_) => return reply(StatusCode::BAD_REQUEST, Vec::new()),
+        let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect();
+        let body = match timeout(BODY_TIMEOUT, body).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(_)) | Err(_) => return reply(StatusCode::BAD_REQUEST, Vec::new()),
         };
         let response = if is_exchange {
             rmp_serde::from_slice(&body)
