--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -7,6 +7,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use jaycrank_gateway::header::Names;
 use smol_str::SmolStr;
@@ -134,6 +135,8 @@
     pub headers: BTreeMap<String, String>,
     /// Body.
     pub body: Vec<u8>,
+    /// Time at which the whole request had arrived.
+    pub received_at: Instant,
 }
 
 #[derive(Debug)]
@@ -420,7 +423,7 @@
         }
     }
     let body = buffer.drain(..length).collect();
-    Ok(Some(Request { target, headers, body }))
+    Ok(Some(Request { target, headers, body, received_at: Instant::now() }))
 }
 
 fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
