Treat a success without the leaf's signature as lost

Callers saw: a 200 without the leaf's signature, with a cut body, when a leaf ended while it sent a body without a length.

Cause: such a body ends with its connection, so the close of an ended process looks like its end.

Change: a leaf signs each success, so a 2xx without a signature is no answer; idempotent requests are sent again, others get 502. Gathered parts were checked so already.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -281,6 +281,12 @@
             None,
         );
     }
+    if head.status.is_success() && !headers.contains_key(&names.signature) {
+        // A leaf signs each success. A body without a length that ends when the leaf ends looks
+        // complete.
+        observation.fail();
+        return (Outcome::Lost("success without a signature".into()), None);
+    }
     let time = if head.status.is_server_error() {
         observation.fail();
         None
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -75,6 +75,22 @@
     }
 }
 
+/// Guards against a body without a length that is forwarded as a whole although its leaf ended within
+/// it: callers got a success without the leaf's signature.
+#[tokio::test]
+async fn success_without_a_signature_is_not_forwarded() {
+    let leaf = Server::start("one").await.unwrap();
+    let (instance, _) = start(config(1, "db", &[]), &[(&leaf, "db")]).await;
+    leaf.set_reaction(Reaction::Endless(Endless::SlowBody));
+    let address = instance.address();
+    let request = get("/write/", "w");
+    let running = tokio::spawn(async move { call(address, &request).await.status });
+    eventually("the request runs", || leaf.executed().len() == 1).await;
+    sleep(Duration::from_millis(100)).await;
+    leaf.crash();
+    assert_eq!(running.await.unwrap(), 502);
+}
+
 /// Guards against a leaf that sends without end and still gets most requests, or makes them fail
 /// although another leaf could answer.
 #[tokio::test]
