Exchange suspects at once after the start, and crash a stand-in leaf once for several requests

Cause: a restarted instance first exchanged after 300 ms, and ran a request isolated before that. In the stand-in, two requests that crashed a leaf together crashed it again after its restart, which a test counted as a fourth crash (request_that_reaches_all_instances_at_once..., once; its log has three: leaf-3 with two requests, leaf-4, leaf-5).

Change: the first exchange is made at the start, with the seeds if no instance is known. The stand-in drops the second crash.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -209,9 +209,10 @@
         same.map(|(address, _)| *address).collect()
     }
 
-    /// Returns the addresses of all other instances.
+    /// Returns the addresses of all other instances, or the seeds if none is known yet.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.lock().keys().copied().collect()
+        let peers = self.lock();
+        if peers.is_empty() { self.seeds.clone() } else { peers.keys().copied().collect() }
     }
 
     /// Returns the number of instances, including this one.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -40,7 +40,7 @@
 /// 5 s with a probability of over 99.99%.
 const EXCHANGE_PEERS: usize = 2;
 /// Number of regular exchanges after the start that are made even without suspects, because a
-/// restarted instance has lost its own.
+/// restarted instance has lost its own. The first one is made at once, before there are routes.
 const INITIAL_EXCHANGES: u32 = 3;
 /// Interval of the first regular exchanges.
 const INITIAL_INTERVAL: Duration = Duration::from_millis(300);
@@ -80,7 +80,11 @@
     let mut rounds = 0;
     loop {
         let is_initial = rounds < INITIAL_EXCHANGES;
-        let interval = if is_initial { INITIAL_INTERVAL } else { EXCHANGE_INTERVAL };
+        let interval = match rounds {
+            0 => Duration::ZERO,
+            _ if is_initial => INITIAL_INTERVAL,
+            _ => EXCHANGE_INTERVAL,
+        };
         let is_report = tokio::select! {
             () = changed.notified() => true,
             () = sleep(interval.mul_f64(rand::random_range(INTERVAL_JITTER))) => false,
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -19,6 +19,7 @@
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Interval at which a crashed server tries to listen again.
 const REBIND_INTERVAL: Duration = Duration::from_millis(10);
@@ -297,6 +298,8 @@
     }
     drop(listener);
     connections.shutdown().await;
+    // Several requests may have caused this crash; it must not be repeated after the restart.
+    let _ = timeout(Duration::ZERO, shared.crashed.notified()).await;
 }
 
 /// Serves one connection. A request meant for another leaf gets status 421.
