Give calls between instances one owner

Polls and the quarantine each had their own path, client and decoding, and peer and quarantine imported each other. Two further messages between instances are needed. call has the listener, which dispatches by path, the client and the bounds in bytes and time; each module registers its path there. No change of behaviour, except that an unknown path is answered with 404 instead of being taken for a poll.

--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,162 @@
+//! Calls between instances: a listener that dispatches them by path, and the client side.
+//!
+//! Messages are encoded in MessagePack. Each module that talks to other instances registers a
+//! [`Service`] for its path.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use jaycrank_http::Client;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol_str::SmolStr;
+use smol_str::format_smolstr;
+use tokio::time::timeout;
+
+use crate::answer::Reply;
+use crate::server::Handler;
+use crate::server::Origin;
+
+/// Largest message, in bytes.
+const MESSAGE_BYTES_MAX: usize = 4 << 20;
+/// Timeout for receiving the body of a message.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Failure of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// The message was not sent: the instance refuses connections.
+    NotSent(SmolStr),
+    /// There was no reply in time; the instance may have received the message.
+    Lost(SmolStr),
+    /// The message or the reply can't be decoded.
+    Invalid(SmolStr),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotSent(cause) => write!(f, "message not sent: {cause}"),
+            Self::Lost(cause) => write!(f, "reply lost: {cause}"),
+            Self::Invalid(cause) => write!(f, "message is not valid: {cause}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<jaycrank_http::Error> for Error {
+    fn from(error: jaycrank_http::Error) -> Self {
+        match error {
+            jaycrank_http::Error::NotSent(cause) => Self::NotSent(cause),
+            jaycrank_http::Error::Lost(cause) => Self::Lost(cause),
+        }
+    }
+}
+
+/// Answers the messages that other instances send to one path.
+#[async_trait]
+pub(crate) trait Service: Send + Sync {
+    /// Decodes a message and returns the encoded reply.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Invalid`] if the message can't be decoded.
+    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, Error>;
+}
+
+/// Handler of the listener for other instances.
+#[derive(Default)]
+pub(crate) struct Dispatcher {
+    services: BTreeMap<&'static str, Arc<dyn Service>>,
+}
+
+impl Dispatcher {
+    /// Adds the service that answers at `path`.
+    pub(crate) fn with_service(mut self, path: &'static str, service: Arc<dyn Service>) -> Self {
+        self.services.insert(path, service);
+        self
+    }
+}
+
+#[async_trait]
+impl Handler for Dispatcher {
+    async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
+        let Some(service) = self.services.get(request.uri().path()).cloned() else {
+            return reply(StatusCode::NOT_FOUND, Vec::new());
+        };
+        let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect();
+        let Ok(Ok(body)) = timeout(BODY_TIMEOUT, body).await else {
+            return reply(StatusCode::BAD_REQUEST, Vec::new());
+        };
+        match service.respond(&body.to_bytes()).await {
+            Ok(body) => reply(StatusCode::OK, body),
+            Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
+        }
+    }
+}
+
+fn reply(status: StatusCode, body: Vec<u8>) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Creates a client for calls to one instance.
+pub(crate) fn client(peer: SocketAddr) -> Client {
+    Client::new(peer).with_reply_bytes_max(MESSAGE_BYTES_MAX)
+}
+
+/// Sends a message and decodes the reply.
+///
+/// # Errors
+///
+/// [`Error`] if there is no valid reply within `time_limit`.
+pub(crate) async fn call<M: Serialize, R: DeserializeOwned>(
+    client: &Client,
+    path: &str,
+    message: &M,
+    time_limit: Duration,
+) -> Result<R, Error> {
+    let request = Request::post(path)
+        .header("host", "peer")
+        .body(Full::new(Bytes::from(encode(message)?)))
+        .map_err(invalid)?;
+    let response = client.call(request, time_limit).await?;
+    decode(response.body())
+}
+
+/// Encodes a message.
+///
+/// # Errors
+///
+/// [`Error::Invalid`] if a value can't be encoded.
+pub(crate) fn encode<M: Serialize>(message: &M) -> Result<Vec<u8>, Error> {
+    rmp_serde::to_vec(message).map_err(invalid)
+}
+
+/// Decodes a message.
+///
+/// # Errors
+///
+/// [`Error::Invalid`] if the bytes are not such a message.
+pub(crate) fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, Error> {
+    rmp_serde::from_slice(bytes).map_err(invalid)
+}
+
+#[cold]
+fn invalid(error: impl fmt::Display) -> Error {
+    Error::Invalid(format_smolstr!("{error}"))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod answer;
 pub mod answer_memory;
 pub mod attempt;
+pub mod call;
 pub mod catalog;
 pub mod config;
 pub mod directory;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -20,6 +20,7 @@
 use crate::admin::Admin;
 use crate::admin::Readiness;
 use crate::answer::Reply;
+use crate::call::Dispatcher;
 use crate::catalog::Catalog;
 use crate::config::Limits;
 use crate::follow;
@@ -103,8 +104,12 @@
             let domain = options.failure_domain.clone();
             let peers = Peers::new(listen, domain, options.regions.clone(), &options.seeds);
             let peers = Arc::new(peers);
-            let responder = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
-            server::listen(listen, Arc::new(responder), phases).await?;
+            let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
+            let suspects = quarantine::Responder::new(gateway.clone());
+            let dispatcher = Dispatcher::default()
+                .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
+                .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects));
+            server::listen(listen, Arc::new(dispatcher), phases).await?;
             tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(peer::poll_peers(
                 gateway.clone(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,14 +14,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
-use hyper::body::Incoming;
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_http::Client;
@@ -30,13 +22,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 use tokio::time::timeout_at;
 
-use crate::answer::Reply;
+use crate::call;
+use crate::call::Service;
 use crate::catalog::Entry;
 use crate::catalog::Item;
 use crate::catalog::LeafId;
@@ -47,13 +38,9 @@
 use crate::directory::Directory;
 use crate::follow::Connectivity;
 use crate::gateway::Gateway;
-use crate::quarantine;
-use crate::quarantine::QUARANTINE_PATH;
-use crate::server::Handler;
-use crate::server::Origin;
 
 /// HTTP path of an exchange.
-const EXCHANGE_PATH: &str = "/exchange";
+pub(crate) const EXCHANGE_PATH: &str = "/exchange";
 /// Pause between exchanges with other failure domains. The readers of this failure domain may lose
 /// the catalog unnoticed, and the strictest deployment requires a configuration to be in force
 /// within 3 s. These exchanges don't wait for changes: this instance's reader delivers the same
@@ -76,10 +63,6 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time that an exchange waits for changes.
 const POLL_WAIT_MAX: Duration = Duration::from_secs(10);
-/// Largest message, in bytes.
-const MESSAGE_BYTES_MAX: usize = 4 << 20;
-/// Timeout for receiving the body of a message.
-const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time after which an instance is forgotten if none has received an exchange from it.
 const PEER_EXPIRY: Duration = Duration::from_secs(45);
 /// Most instances in one list, a random sample if there are more.
@@ -283,7 +266,7 @@
         Self { gateway, peers, connectivity }
     }
 
-    async fn respond(&self, poll: &Poll) -> Update {
+    async fn answer(&self, poll: &Poll) -> Update {
         self.peers.record(poll.from, poll.failure_domain.clone(), Duration::ZERO);
         let wait = Duration::from_millis(poll.wait_ms).min(POLL_WAIT_MAX);
         let end = Instant::now() + wait;
@@ -351,56 +334,20 @@
 }
 
 #[async_trait]
-impl Handler for Responder {
-    async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
-        let is_exchange = request.uri().path() == QUARANTINE_PATH;
-        let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect();
-        let body = match timeout(BODY_TIMEOUT, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(_)) | Err(_) => return reply(StatusCode::BAD_REQUEST, Vec::new()),
-        };
-        let response = if is_exchange {
-            rmp_serde::from_slice(&body)
-                .map(|exchange| rmp_serde::to_vec(&quarantine::respond(&self.gateway, exchange)))
-        } else {
-            match rmp_serde::from_slice(&body) {
-                Ok(poll) => Ok(rmp_serde::to_vec(&self.respond(&poll).await)),
-                Err(error) => Err(error),
-            }
-        };
-        match response {
-            Ok(Ok(body)) => reply(StatusCode::OK, body),
-            Ok(Err(_)) => reply(StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
-            Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
-        }
+impl Service for Responder {
+    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
+        call::encode(&self.answer(&call::decode(message)?).await)
     }
 }
 
-fn reply(status: StatusCode, body: Vec<u8>) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
-    *reply.status_mut() = status;
-    reply
-}
-
 /// Polls another instance.
 ///
 /// # Errors
 ///
-/// Returns a description of the failure.
-pub async fn poll(client: &Client, poll: &Poll) -> Result<Update, SmolStr> {
-    let body = rmp_serde::to_vec(poll).map_err(|error| format_smolstr!("{error}"))?;
-    let request = Request::post(EXCHANGE_PATH)
-        .header("host", "peer")
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| format_smolstr!("{error}"))?;
+/// [`call::Error`] if there is no valid reply in time.
+pub async fn poll(client: &Client, poll: &Poll) -> Result<Update, call::Error> {
     let time = Duration::from_millis(poll.wait_ms) + EXCHANGE_TIMEOUT;
-    let response = client.call(request, time).await.map_err(|error| format_smolstr!("{error}"))?;
-    rmp_serde::from_slice(response.body()).map_err(|error| format_smolstr!("{error}"))
-}
-
-/// Creates a client for exchanges with one instance.
-pub fn client(peer: SocketAddr) -> Client {
-    Client::new(peer).with_reply_bytes_max(MESSAGE_BYTES_MAX)
+    call::call(client, EXCHANGE_PATH, poll, time).await
 }
 
 fn addresses(peers: Vec<(&SocketAddr, &Peer)>) -> Vec<SocketAddr> {
@@ -462,7 +409,7 @@
             sleep(SHORT_INTERVAL).await;
             continue;
         };
-        let client = clients.entry(peer).or_insert_with(|| client(peer));
+        let client = clients.entry(peer).or_insert_with(|| call::client(peer));
         let answered =
             poll_peer(&gateway, &peers, client, &next_poll(&gateway, &peers, round)).await;
         if !answered {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,9 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
+use async_trait::async_trait;
 use jaycrank_http::Client;
 use jaycrank_policy::quarantine::Observations;
 use rand::seq::IteratorRandom;
@@ -24,13 +22,14 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::call;
+use crate::call::Service;
 use crate::gateway::Gateway;
-use crate::peer;
 use crate::peer::Peers;
 
 /// Longest time for which a request waits until it may run isolated.
 pub(crate) const SUSPECT_WAIT_MAX: Duration = Duration::from_millis(500);
-/// HTTP path of an exchange. Instances of versions without a quarantine answer 400.
+/// HTTP path of an exchange. Instances of versions without a quarantine answer with an error.
 pub(crate) const QUARANTINE_PATH: &str = "/quarantine";
 /// Interval of the regular exchanges.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
@@ -62,8 +61,25 @@
     pub observations: Observations,
 }
 
+/// Answers the exchanges of other instances.
+pub(crate) struct Responder(Arc<Gateway>);
+
+impl Responder {
+    /// Creates a responder that merges into the quarantine of `gateway`.
+    pub(crate) fn new(gateway: Arc<Gateway>) -> Self {
+        Self(gateway)
+    }
+}
+
+#[async_trait]
+impl Service for Responder {
+    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
+        call::encode(&respond(&self.0, call::decode(message)?))
+    }
+}
+
 /// Merges what a peer sent and returns what it lacks.
-pub(crate) fn respond(gateway: &Gateway, exchange: Exchange) -> Exchange {
+fn respond(gateway: &Gateway, exchange: Exchange) -> Exchange {
     let now = Instant::now().into_std();
     let quarantine = gateway.quarantine();
     quarantine.merge(exchange.observations, now);
@@ -99,7 +115,7 @@
             (false, false) => 0,
         };
         for peer in known.into_iter().sample(&mut rand::rng(), count) {
-            let client = clients.entry(peer).or_insert_with(|| Arc::new(peer::client(peer)));
+            let client = clients.entry(peer).or_insert_with(|| Arc::new(call::client(peer)));
             let (client, gateway) = (client.clone(), gateway.clone());
             tokio::spawn(async move {
                 // A peer that does not answer gets the observations by later exchanges.
@@ -119,7 +135,7 @@
 }
 
 /// Sends the recent observations to a peer and merges its own; if it lacks older ones, sends all.
-async fn exchange(gateway: &Gateway, client: &Client) -> Result<(), SmolStr> {
+async fn exchange(gateway: &Gateway, client: &Client) -> Result<(), call::Error> {
     let quarantine = gateway.quarantine();
     let now = || Instant::now().into_std();
     let recent = quarantine.recent_observations(REPORT_AGE, now());
@@ -134,13 +150,6 @@
     Ok(())
 }
 
-async fn call(client: &Client, exchange: &Exchange) -> Result<Exchange, SmolStr> {
-    let body = rmp_serde::to_vec(exchange).map_err(|error| format_smolstr!("{error}"))?;
-    let request = Request::post(QUARANTINE_PATH)
-        .header("host", "peer")
-        .body(Full::new(Bytes::from(body)))
-        .map_err(|error| format_smolstr!("{error}"))?;
-    let response =
-        client.call(request, EXCHANGE_TIMEOUT).await.map_err(|error| format_smolstr!("{error}"))?;
-    rmp_serde::from_slice(response.body()).map_err(|error| format_smolstr!("{error}"))
+async fn call(client: &Client, exchange: &Exchange) -> Result<Exchange, call::Error> {
+    call::call(client, QUARANTINE_PATH, exchange, EXCHANGE_TIMEOUT).await
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -23,6 +23,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::call;
 use crate::catalog::Catalog;
 use crate::catalog::Error;
 use crate::catalog::Item;
@@ -104,7 +105,7 @@
             usable.map(|peer| (format_smolstr!("{peer}"), peer)).collect();
         let peer = *peers.get(rendezvous::upstream(&key, &own, peers.keys(), FOLLOWERS_MAX)?)?;
         let client =
-            state.clients.entry(peer).or_insert_with(|| Arc::new(peer::client(peer))).clone();
+            state.clients.entry(peer).or_insert_with(|| Arc::new(call::client(peer))).clone();
         Some((peer, client))
     }
 
