Keep to the limit that a leaf states, over all instances

Change: what the last answer of a leaf states is recorded with the leaf. One instance, found by rendezvous hashing, owns each limited leaf and grants tokens on demand; attempt::send_request sends nothing to a limited leaf without a token, so first sends, repeats, hedges and parts of a gather pass the same gate, also if they waited for a connection meanwhile. Without a token the request goes to another leaf, else it waits up to 250 ms for one, most urgent rank first, else it is refused with a Retry-After. A query over shards leaves out a shard without tokens, or is refused before it is sent. An owner without contact to a majority of instances grants the square of the part that it reaches. New: JC0706, JC0707, jaycrank_held_back, limits in the state dump and the fleet overview.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -82,6 +82,10 @@
     LeafFailed,
     /// A leaf crashed with a request in flight.
     LeafCrashed,
+    /// A leaf states another limit for its requests than before, or none.
+    LeafLimited,
+    /// A leaf states a limit that is not valid; the last one holds.
+    LeafLimitInvalid,
     /// The instance received newer documents from a peer.
     PeerDocuments,
     /// The process settings were reloaded.
@@ -123,6 +127,8 @@
             Self::LeafInvalid => "JC0703",
             Self::LeafFailed => "JC0704",
             Self::LeafCrashed => "JC0705",
+            Self::LeafLimited => "JC0706",
+            Self::LeafLimitInvalid => "JC0707",
             Self::PeerDocuments => "JC0801",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
@@ -141,6 +147,7 @@
             | Self::RoutesInvalid
             | Self::LeafInvalid
             | Self::LeafCrashed
+            | Self::LeafLimitInvalid
             | Self::RequestQuarantined
             | Self::ReloadFailed => Level::Warn,
             _ => Level::Info,
@@ -179,6 +186,8 @@
             Self::LeafInvalid => "entry of a leaf is not valid",
             Self::LeafFailed => "leaf did not answer",
             Self::LeafCrashed => "leaf crashed with the request in flight",
+            Self::LeafLimited => "limit of a leaf changed",
+            Self::LeafLimitInvalid => "limit of a leaf is not valid",
             Self::PeerDocuments => "newer documents were received from a peer",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -92,6 +92,7 @@
             budgets: self.gateway.quotas().tokens_by_service(),
             leafs: leafs.collect(),
             quarantine: self.quarantine(),
+            limits: self.gateway.rate_limits().statuses(),
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,11 +19,16 @@
 use hyper::header;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::http::response;
 use hyper::http::uri::PathAndQuery;
+use jaycrank_event::Event;
+use jaycrank_event::event;
 use jaycrank_policy::placement::LoadReport;
 use jaycrank_policy::placement::Ticket;
 use jaycrank_policy::quarantine;
 use jaycrank_policy::quarantine::Fingerprint;
+use jaycrank_policy::rate_limit;
+use jaycrank_policy::rate_limit::Permit;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
@@ -35,6 +40,7 @@
 use crate::header::text;
 use crate::leaf::Leaf;
 use crate::pool::Lease;
+use crate::rate_limit::RateLimits;
 use crate::round_trip::Estimator;
 
 /// Largest answer of a leaf, in bytes.
@@ -161,6 +167,12 @@
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Permission to send the request to the leaf.
+    pub permit: Permit,
+    /// Rank of the request.
+    pub rank: u8,
+    /// Limits that leafs state.
+    pub rate_limits: Arc<RateLimits>,
     /// Memory that the bodies of answers take.
     pub answer_memory: Arc<AnswerMemory>,
 }
@@ -186,10 +198,15 @@
             return (Outcome::NotSent(format_smolstr!("{error}")), None);
         }
     };
-    let domain = leaf.with_entry(|entry| entry.failure_domain.clone());
     if let Some(time) = lease.connect_time {
+        let domain = leaf.with_entry(|entry| entry.failure_domain.clone());
         context.round_trips.record(&domain, time);
     }
+    if !leaf.rate_limit().confirm(context.permit, context.rank) {
+        leaf.pool().release_unused(lease);
+        return (Outcome::NotSent("limit of the leaf".into()), None);
+    }
+    let sent = now();
     let mut request = build_request(&leaf, &outgoing, &context);
     let response = loop {
         match lease.connection.sender.try_send_request(request).await {
@@ -225,7 +242,7 @@
             },
         }
     };
-    read_response(&leaf, &outgoing, &context, observation, lease, response, &domain).await
+    read_response(&leaf, &outgoing, &context, observation, lease, response, sent).await
 }
 
 async fn read_response(
@@ -235,7 +252,7 @@
     observation: Observation,
     lease: Lease,
     response: Response<Incoming>,
-    domain: &SmolStr,
+    sent: std::time::Instant,
 ) -> Completion {
     let (head, body) = response.into_parts();
     let names = &context.names;
@@ -244,6 +261,7 @@
         // The connection is dropped: what it still holds belongs to another request.
         return (Outcome::Lost("response to another request".into()), None);
     }
+    record_limit(leaf, context, &head, sent);
     let body = match read_body(body, &context.answer_memory).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
@@ -291,12 +309,40 @@
         observation.fail();
         None
     } else {
-        observation.answer(context.round_trips.estimate(domain))
+        let domain = leaf.with_entry(|entry| entry.failure_domain.clone());
+        observation.answer(context.round_trips.estimate(&domain))
     };
     let signature = headers.get(&names.signature).cloned();
     (Outcome::Answered(Answer { status: head.status, headers, body, signature }), time)
 }
 
+/// Records the limit that an answer of the leaf states, or that it states none.
+fn record_limit(
+    leaf: &Arc<Leaf>,
+    context: &Context,
+    head: &response::Parts,
+    sent: std::time::Instant,
+) {
+    let mut values = head.headers.get_all(&context.names.rate_limit).iter();
+    let Some(value) = values.next() else {
+        // Another process may answer at the address of a leaf that has ended.
+        if leaf.rate_limit().is_limited() && head.status != StatusCode::MISDIRECTED_REQUEST {
+            context.rate_limits.record_answer(leaf, None, sent);
+        }
+        return;
+    };
+    let rate = value.to_str().ok().and_then(rate_limit::parse);
+    match rate.filter(|_| values.all(|other| other == value)) {
+        Some(rate) => context.rate_limits.record_answer(leaf, Some(rate), sent),
+        None => event!(
+            Event::LeafLimitInvalid,
+            leaf = leaf.with_entry(|entry| entry.id.clone()),
+            service = leaf.with_entry(|entry| entry.service.clone()),
+            value = String::from_utf8_lossy(value.as_bytes())
+        ),
+    }
+}
+
 /// Returns the outcome of a request whose connection broke.
 async fn lost_or_crashed(leaf: &Leaf, detail: SmolStr) -> Outcome {
     if leaf.pool().is_refused().await { Outcome::Crashed(detail) } else { Outcome::Lost(detail) }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -206,6 +206,11 @@
         listed.map(|leaf| leaf.entry()).collect()
     }
 
+    /// Returns a leaf, also a lapsed one.
+    pub fn leaf(&self, id: &LeafId) -> Option<Arc<Leaf>> {
+        self.lock().leafs.get(id).cloned()
+    }
+
     /// Returns all leafs, also lapsed ones.
     pub fn leafs(&self) -> Vec<Arc<Leaf>> {
         self.lock().leafs.values().cloned().collect()
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -14,6 +14,7 @@
 use jaycrank_policy::placement;
 use jaycrank_policy::quarantine::Isolation;
 use jaycrank_policy::quarantine::Turn;
+use jaycrank_policy::rate_limit::Permit;
 use jaycrank_policy::timing;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -21,6 +22,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::attempt::Answer;
 use crate::attempt::Completion;
@@ -33,6 +35,8 @@
 use crate::leaf::IsolatedLeaf;
 use crate::leaf::Leaf;
 use crate::quarantine;
+use crate::rate_limit;
+use crate::rate_limit::Waiting;
 
 /// Time for which a hedged request stays open at the slower leaf after the other one has answered.
 /// A leaf that pauses briefly still answers in time, so its connection can be reused. The
@@ -52,6 +56,8 @@
     pub idempotent: bool,
     /// Whether the request is a suspect that runs isolated: at one leaf at a time, without hedges.
     pub isolated: bool,
+    /// Rank of the request; 0 is the most urgent.
+    pub rank: u8,
     /// Maximum number of leafs that may run the request.
     pub attempts_max: u32,
     /// Time by which the answer should be there to meet the target latency.
@@ -67,6 +73,8 @@
 pub enum Reason {
     /// The service has no usable leaf.
     NoLeaf,
+    /// The leafs of the service take no more requests by the limits that they state.
+    Limited,
     /// All leafs that the request was sent to rejected it.
     Rejected,
     /// No connection could be opened.
@@ -90,6 +98,8 @@
     pub may_have_run: bool,
     /// Error response of a leaf, to be passed on to the caller.
     pub answer: Option<Answer>,
+    /// Time until a leaf may take a request by the limit that it states.
+    pub retry_after: Duration,
 }
 
 /// Answer, with the number of requests that it took.
@@ -121,6 +131,8 @@
     isolation: Option<Isolation>,
     /// Marks of the leafs of the isolated run.
     isolated_leafs: Vec<IsolatedLeaf>,
+    /// Leaf that the request was not sent to because of its limit.
+    limited: Option<Arc<Leaf>>,
     /// Failure to return unless a leaf answers.
     failure: Failure,
 }
@@ -132,7 +144,12 @@
 /// Returns [`Failure`] if no leaf answers before the deadline, or if the request may not be sent
 /// to any further leaf.
 pub async fn fetch(gateway: &Gateway, job: &Job) -> Result {
-    let failure = Failure { reason: Reason::NoLeaf, may_have_run: false, answer: None };
+    let failure = Failure {
+        reason: Reason::NoLeaf,
+        may_have_run: false,
+        answer: None,
+        retry_after: Duration::ZERO,
+    };
     let mut fetch = Fetch {
         gateway,
         job,
@@ -143,6 +160,7 @@
         suspected: false,
         isolation: None,
         isolated_leafs: Vec::new(),
+        limited: None,
         failure,
     };
     gateway.quotas().deposit(&job.service);
@@ -296,7 +314,47 @@
     /// Sends the request again when none is in flight; returns the time at which it is hedged, or
     /// `None` if it was not sent.
     async fn resume(&mut self) -> Option<Instant> {
-        if self.suspected { self.run_isolated().await } else { self.retry_rejected().await }
+        if self.suspected {
+            self.run_isolated().await
+        } else if let Some(leaf) = self.limited.clone() {
+            self.wait_for_token(&leaf).await
+        } else {
+            self.retry_rejected().await
+        }
+    }
+
+    /// Waits until the request may be sent within the limit of a leaf. Gives up as soon as no token
+    /// can come before the target time. Returns the time at which it is hedged if it was sent.
+    async fn wait_for_token(&mut self, leaf: &Leaf) -> Option<Instant> {
+        if !self.may_send_again() {
+            return None;
+        }
+        let limits = self.gateway.rate_limits();
+        let end = self.job.answer_at.min(Instant::now() + rate_limit::TOKEN_WAIT_MAX);
+        let _waiting = Waiting::new(leaf.rate_limit(), self.job.rank);
+        self.gateway.metrics().record_held_back("waiting");
+        limits.request_tokens();
+        loop {
+            let mut granted = std::pin::pin!(limits.granted());
+            granted.as_mut().enable();
+            if let Some(at) = self.send("limited") {
+                return Some(at);
+            }
+            let wait = leaf.rate_limit().wait();
+            let is_denied = Instant::now() + wait > end || self.limited.is_none();
+            // A token that is on its way would lapse without the request.
+            let check_at = match leaf.rate_limit().is_asked() {
+                true => end.max(Instant::now() + rate_limit::REPLY_CHECK_INTERVAL),
+                false => end,
+            };
+            if is_denied || (Instant::now() >= check_at) {
+                self.failure.retry_after = wait;
+                self.gateway.metrics().record_held_back("refused");
+                return None;
+            }
+            // Both a grant and a timeout are handled by the conditions above.
+            let _ = timeout_at(check_at, granted).await;
+        }
     }
 
     /// Runs a request isolated with which a leaf crashed. A second crash is final.
@@ -340,7 +398,7 @@
     /// extra requests is exhausted.
     fn send(&mut self, cause: &'static str) -> Option<Instant> {
         let now = Instant::now();
-        let (leaf, expected) = self.choose(now)?;
+        let (leaf, expected, permit) = self.choose(now)?;
         let id = leaf.with_entry(|entry| entry.id.clone());
         if self.attempts.sends() > 0 {
             let granted = self.gateway.quotas().try_spend(&self.job.service);
@@ -370,6 +428,9 @@
             round_trips: self.gateway.round_trips().clone(),
             deadline: self.job.deadline,
             idempotent: self.job.idempotent,
+            permit,
+            rank: self.job.rank,
+            rate_limits: self.gateway.rate_limits().clone(),
             answer_memory: self.gateway.answer_memory().clone(),
         };
         let completion = send_request(leaf.clone(), self.job.outgoing.clone(), context);
@@ -386,20 +447,33 @@
 
     /// Chooses among the leafs that were not tried, or else among those that failed. An isolated run
     /// goes to a leaf without another one if there is such a leaf, so that a crash has one suspect.
-    fn choose(&self, now: Instant) -> Option<(Arc<Leaf>, Expected)> {
+    fn choose(&mut self, now: Instant) -> Option<(Arc<Leaf>, Expected, Permit)> {
+        let mut limited = None;
         let is_free = |leaf: &Leaf| !self.is_isolated() || !leaf.runs_isolated();
         let is_new = |leaf: &LeafId| self.attempts.allows_new_leaf(leaf);
-        self.choose_among(now, |leaf, id| is_free(leaf) && is_new(id))
-            .or_else(|| self.choose_among(now, |_, id| is_new(id)))
-            .or_else(|| self.choose_among(now, |_, id| self.attempts.allows_repeat(id)))
+        let chosen = self
+            .choose_among(now, &mut limited, |leaf, id| is_free(leaf) && is_new(id))
+            .or_else(|| self.choose_among(now, &mut limited, |_, id| is_new(id)))
+            .or_else(|| {
+                self.choose_among(now, &mut limited, |_, id| self.attempts.allows_repeat(id))
+            });
+        if chosen.is_some() && limited.is_some() {
+            self.gateway.metrics().record_held_back("other-leaf");
+        } else if limited.is_some() && self.failure.reason == Reason::NoLeaf {
+            self.failure.reason = Reason::Limited;
+        }
+        self.limited = limited;
+        chosen
     }
 
-    /// Chooses the leaf that is expected to answer first among those that `allow` accepts.
+    /// Chooses the leaf that is expected to answer first among those that `allow` accepts and whose
+    /// limit allows a request. Sets `limited` to the first one whose limit does not.
     fn choose_among(
         &self,
         now: Instant,
+        limited: &mut Option<Arc<Leaf>>,
         allow: impl Fn(&Leaf, &LeafId) -> bool,
-    ) -> Option<(Arc<Leaf>, Expected)> {
+    ) -> Option<(Arc<Leaf>, Expected, Permit)> {
         let now = now.into_std();
         let service_times = self.gateway.service_time(&self.job.service);
         let usable = self.gateway.directory().usable(&self.job.service, now);
@@ -421,14 +495,24 @@
             round_trips.push(round_trip);
             leafs.push(leaf);
         }
-        let position = placement::pick_shortest(&times, rand::random())?;
-        let mut other_times = times.clone();
-        other_times.swap_remove(position);
-        let expected = Expected {
-            round_trip: round_trips[position],
-            best_other: other_times.into_iter().min(),
-        };
-        Some((leafs.swap_remove(position), expected))
+        loop {
+            let position = placement::pick_shortest(&times, rand::random())?;
+            let leaf = leafs.swap_remove(position);
+            let round_trip = round_trips.swap_remove(position);
+            times.swap_remove(position);
+            let limit = leaf.rate_limit();
+            let permit = limit.try_acquire(self.job.rank);
+            if limit.is_limited() {
+                self.gateway.rate_limits().record_demand(limit);
+            }
+            match permit {
+                Some(permit) => {
+                    let best_other = times.into_iter().min();
+                    return Some((leaf, Expected { round_trip, best_other }, permit));
+                }
+                None => _ = limited.get_or_insert(leaf),
+            }
+        }
     }
 
     /// Lets the remaining attempts finish in the background, so that their connections return to
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::directory::Directory;
 use crate::header::Names;
 use crate::metrics::Metrics;
+use crate::rate_limit::RateLimits;
 use crate::round_trip::Estimator;
 
 /// Most suspects that run isolated at a time. They run at different leafs where possible.
@@ -219,6 +220,7 @@
     names: Arc<Names>,
     quotas: Quotas,
     throttles: Throttles,
+    rate_limits: Arc<RateLimits>,
     caller_round_trip: Duration,
     service_times: Mutex<BTreeMap<SmolStr, ServiceTime>>,
     shedder: Shedder,
@@ -242,6 +244,7 @@
             names: Arc::new(options.names.clone()),
             quotas: Quotas::new(options),
             throttles: Throttles::default(),
+            rate_limits: Arc::default(),
             caller_round_trip: options.caller_round_trip,
             service_times: Mutex::default(),
             shedder: Shedder::new(),
@@ -278,6 +281,11 @@
         &self.throttles
     }
 
+    /// Returns the limits that leafs state.
+    pub fn rate_limits(&self) -> &Arc<RateLimits> {
+        &self.rate_limits
+    }
+
     /// Returns the network round-trip time to callers.
     pub fn caller_round_trip(&self) -> Duration {
         self.caller_round_trip
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -20,6 +20,8 @@
     pub not_run: HeaderName,
     /// Load of the leaf, as `running,waiting,slots`.
     pub load: HeaderName,
+    /// Requests a second that the leaf takes from all instances together, if it limits them.
+    pub rate_limit: HeaderName,
     /// Signatures of the parts in a merged response, separated by commas.
     pub part_signatures: HeaderName,
     /// Number of shards that a merged response lacks.
@@ -35,6 +37,7 @@
             signature: HeaderName::from_static("x-signature"),
             not_run: HeaderName::from_static("x-not-run"),
             load: HeaderName::from_static("x-load"),
+            rate_limit: HeaderName::from_static("x-rate-limit"),
             part_signatures: HeaderName::from_static("x-part-signatures"),
             missing_parts: HeaderName::from_static("x-missing-parts"),
         }
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -15,9 +15,11 @@
 use jaycrank_policy::presence::Presence;
 
 use crate::catalog::Entry;
+use crate::catalog::LeafId;
 use crate::catalog::Revision;
 use crate::catalog::State;
 use crate::pool::Pool;
+use crate::rate_limit::LeafLimit;
 
 /// One incarnation of a leaf.
 #[derive(Debug)]
@@ -30,6 +32,7 @@
     pool: Pool,
     /// Number of isolated runs at the leaf.
     isolated_runs: AtomicUsize,
+    rate_limit: LeafLimit,
 }
 
 /// Mark of a leaf at which a suspect runs isolated, until it is dropped.
@@ -61,6 +64,7 @@
             revision: AtomicU64::new(revision),
             entry: Mutex::new(entry),
             isolated_runs: AtomicUsize::new(0),
+            rate_limit: LeafLimit::default(),
         }
     }
 
@@ -115,6 +119,16 @@
         self.isolated_runs.load(Ordering::Relaxed) > 0
     }
 
+    /// Returns the limit that the leaf states for its requests, and the tokens for it.
+    pub fn rate_limit(&self) -> &LeafLimit {
+        &self.rate_limit
+    }
+
+    /// Returns id and start of the leaf, which identify its incarnation.
+    pub(crate) fn key(&self) -> (LeafId, u64) {
+        self.with_entry(|entry| (entry.id.clone(), entry.started_ms))
+    }
+
     /// Returns the connection pool of the leaf.
     pub fn pool(&self) -> &Pool {
         &self.pool
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,8 @@
 //! merges. [`server`] holds the connections of callers, [`request`] and [`answer`] decode and
 //! encode messages, [`query`] runs one request, [`fetch`] obtains one answer from the leafs of one
 //! service, [`attempt`] sends one request over one connection of a [`pool`]. [`quarantine`] keeps
-//! requests that crash leafs from reaching more of them.
+//! requests that crash leafs from reaching more of them, and [`rate_limit`] leafs from getting more
+//! requests than the limit that they state.
 //!
 //! The configuration ([`config`]: routes and services) and leaf entries come from a [`Catalog`].
 //! [`follow`] keeps the [`directory`] of both up to date, and [`peer`] exchanges them among
@@ -38,6 +39,7 @@
 pub mod pool;
 pub mod quarantine;
 pub mod query;
+pub mod rate_limit;
 pub mod relay;
 pub mod report;
 pub mod request;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -32,6 +32,7 @@
 use crate::peer::Responder;
 use crate::quarantine;
 use crate::query;
+use crate::rate_limit;
 use crate::relay::Relay;
 use crate::server;
 use crate::server::Connections;
@@ -106,11 +107,14 @@
             let peers = Arc::new(peers);
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
             let suspects = quarantine::Responder::new(gateway.clone());
+            let limits = rate_limit::Responder::new(gateway.clone());
             let dispatcher = Dispatcher::default()
                 .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
-                .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects));
+                .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects))
+                .with_service(rate_limit::LIMIT_PATH, Arc::new(limits));
             server::listen(listen, Arc::new(dispatcher), phases).await?;
             tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
+            tasks.push(tokio::spawn(rate_limit::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(peer::poll_peers(
                 gateway.clone(),
                 peers.clone(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -26,6 +26,7 @@
     catalog_calls: Counter<u64>,
     exchanged_leafs: Counter<u64>,
     leaf_crashes: Counter<u64>,
+    held_back: Counter<u64>,
     latency: Histogram<f64>,
     /// Number of requests by outcome, for the state dump.
     outcomes: Mutex<BTreeMap<&'static str, u64>>,
@@ -62,6 +63,10 @@
                 "Crashes of leafs with a request in flight, by whether it ran isolated",
             )
             .build();
+        let held_back = meter
+            .u64_counter("jaycrank_held_back")
+            .with_description("Requests not sent to a leaf because of the limit that it states")
+            .build();
         let latency = meter
             .f64_histogram("jaycrank_request")
             .with_unit("s")
@@ -75,6 +80,7 @@
             catalog_calls,
             exchanged_leafs,
             leaf_crashes,
+            held_back,
             latency,
             outcomes: Mutex::default(),
         })
@@ -115,6 +121,12 @@
         self.leaf_crashes.add(1, &[KeyValue::new("isolated", isolated)]);
     }
 
+    /// Counts a request that is not sent to a leaf because of its limit: `other-leaf` if another leaf
+    /// may take it, `waiting` if it waits for a token, `refused` if it is refused.
+    pub fn record_held_back(&self, consequence: &'static str) {
+        self.held_back.add(1, &[KeyValue::new("consequence", consequence)]);
+    }
+
     /// Encodes all values in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -179,6 +179,13 @@
         drop(permit);
     }
 
+    /// Returns a connection on which no request was sent.
+    pub(crate) fn release_unused(&self, lease: Lease) {
+        let Lease { connection, permit, .. } = lease;
+        self.keep_idle(connection, 1);
+        drop(permit);
+    }
+
     /// Closes the idle connections that were opened at `opened` or before.
     pub(crate) fn close_opened_until(&self, opened: Instant) {
         self.lock().retain(|connection| connection.opened > opened);
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -34,6 +34,7 @@
 use crate::fetch::fetch;
 use crate::gateway::Gateway;
 use crate::quarantine::SUSPECT_WAIT_MAX;
+use crate::rate_limit;
 use crate::request;
 use crate::server::Origin;
 
@@ -239,7 +240,7 @@
                 match failure.answer {
                     Some(answer) => self.answered(answer::forwarded(answer), (0, 1), 1),
                     None if !failure.may_have_run => {
-                        self.refused(Refusal::NotRun, reason, (0, 1), 0)
+                        self.not_run(failure.reason, failure.retry_after, (0, 1), 0)
                     }
                     None => self.refused(refusal_after_run(failure.reason), reason, (0, 1), 1),
                 }
@@ -257,7 +258,18 @@
         isolated: bool,
     ) -> Handled {
         let total = services.len();
-        let left_out = self.gateway.throttles().leave_out(services, coverage_min);
+        let (exhausted, retry_after) = self.exhausted(services);
+        if !timing::meets_coverage(total - exhausted.len(), total, coverage_min) {
+            let handled = self.not_run(Reason::Limited, retry_after, (0, total), 0);
+            return handled.with_missing(missing_services(services, &[]));
+        }
+        let mut left_out = self.gateway.throttles().leave_out(services, coverage_min);
+        left_out.extend(&exhausted);
+        left_out.sort_unstable();
+        left_out.dedup();
+        if !timing::meets_coverage(total - left_out.len(), total, coverage_min) {
+            left_out = exhausted;
+        }
         let queried = services.iter().enumerate().filter(|(index, _)| !left_out.contains(index));
         let jobs: Vec<Job> = queried.map(|(_, service)| self.job(service, isolated)).collect();
         let mut unanswered = Unanswered::new(self.gateway, &jobs);
@@ -307,6 +319,7 @@
                     Err(failure) => {
                         unanswered.ignore_failed(index);
                         failures.add(failure.reason, failure.may_have_run);
+                        failures.retry_after = failures.retry_after.max(failure.retry_after);
                     }
                 },
                 () = sleep_until(self.answer_at), if !late => late = true,
@@ -319,8 +332,12 @@
         let covered = parts.len();
         if !timing::meets_coverage(covered, total, coverage_min) {
             let ran = covered > 0 || failures.may_have_run || !fetches.is_empty();
-            let refusal = if ran { refusal_after_run(failures.reason()) } else { Refusal::NotRun };
-            let handled = self.refused(refusal, failures.reason().into(), (covered, total), sends);
+            let reason = failures.reason();
+            let handled = if ran {
+                self.refused(refusal_after_run(reason), reason.into(), (covered, total), sends)
+            } else {
+                self.not_run(reason, failures.retry_after, (covered, total), sends)
+            };
             return handled.with_missing(missing_services(services, &answered_services));
         }
         let bodies = parts.iter().map(|(answer, _)| answer.body.as_ref());
@@ -338,12 +355,38 @@
             .with_missing(missing_services(services, &answered_services))
     }
 
+    /// Returns the positions of the services whose leafs take no request soon by the limits that they
+    /// state, and the time until one of them does.
+    fn exhausted(&self, services: &[SmolStr]) -> (Vec<usize>, Duration) {
+        if self.gateway.rate_limits().is_empty() {
+            return (Vec::new(), Duration::ZERO);
+        }
+        let time_left = self.answer_at.saturating_duration_since(Instant::now());
+        let wait_max = rate_limit::TOKEN_WAIT_MAX.min(time_left);
+        let waits: Vec<(usize, Duration)> = services
+            .iter()
+            .enumerate()
+            .filter_map(|(index, service)| Some((index, self.token_wait(service)?)))
+            .filter(|(_, wait)| *wait > wait_max)
+            .collect();
+        let next = waits.iter().map(|(_, wait)| *wait).min().unwrap_or_default();
+        (waits.into_iter().map(|(index, _)| index).collect(), next)
+    }
+
+    /// Returns the time until a leaf of a service may take a request by the limits that they state;
+    /// `None` if there is no leaf.
+    fn token_wait(&self, service: &SmolStr) -> Option<Duration> {
+        let leafs = self.gateway.directory().usable(service, Instant::now().into_std());
+        leafs.iter().map(|leaf| leaf.rate_limit().wait()).min()
+    }
+
     fn job(&self, service: &SmolStr, isolated: bool) -> Job {
         Job {
             service: service.clone(),
             outgoing: self.outgoing.clone(),
             idempotent: self.route.idempotent,
             isolated,
+            rank: self.route.rank,
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
             deadline: self.deadline,
@@ -355,6 +398,22 @@
         Handled { reply, result: Ok(()), reason: "answered", coverage, missing, sends }
     }
 
+    /// Refuses a request that no leaf ran. `retry_after` is the time until a leaf may take it, which
+    /// is not shortened to the caller's deadline.
+    fn not_run(
+        &self,
+        reason: Reason,
+        retry_after: Duration,
+        coverage: (usize, usize),
+        sends: u32,
+    ) -> Handled {
+        let mut handled = self.refused(Refusal::NotRun, reason.into(), coverage, sends);
+        if retry_after > RETRY_AFTER_BASE {
+            handled.reply = Refusal::NotRun.reply(Some(retry_after + jitter(RETRY_AFTER_BASE)));
+        }
+        handled
+    }
+
     fn refused(
         &self,
         refusal: Refusal,
@@ -462,6 +521,8 @@
     /// Reason that takes precedence so far.
     reason: Option<Reason>,
     may_have_run: bool,
+    /// Longest time until a leaf of a shard may take a request by the limit that it states.
+    retry_after: Duration,
 }
 
 impl Failures {
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -52,6 +52,24 @@
     /// Requests that are suspected or refused because leafs crashed, by fingerprint in hexadecimal.
     #[serde(default)]
     pub quarantine: BTreeMap<SmolStr, Observation>,
+    /// Limits that leafs state, by leaf.
+    #[serde(default)]
+    pub limits: BTreeMap<SmolStr, LimitStatus>,
+}
+
+/// Limit that a leaf states, and the tokens of the instance for it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitStatus {
+    /// Requests a second from all instances together.
+    pub rate: f64,
+    /// Milliseconds since an instance received the last answer with it.
+    pub age_ms: u64,
+    /// Requests that the instance may send now.
+    pub tokens: u32,
+    /// Milliseconds until the instance may get another token.
+    pub wait_ms: u64,
+    /// Address of the instance that grants the tokens.
+    pub owner: Option<SmolStr>,
 }
 
 /// Status of a leaf as an instance sees it.
@@ -135,13 +153,13 @@
         if dump.catalog_lost { "lost" } else { "followed" },
         dump.processor_delay_us as f64 / 1e3,
         dump.requests,
-        format_leafs(&dump.leafs),
+        format_leafs(&dump.leafs, dump.limits.len()),
         least.unwrap_or_default()
     )
 }
 
-/// Formats the number of leafs by state, and of failing ones.
-fn format_leafs(leafs: &[LeafStatus]) -> String {
+/// Formats the number of leafs by state, of failing ones and of those that state a limit.
+fn format_leafs(leafs: &[LeafStatus], limited: usize) -> String {
     let mut counts: BTreeMap<&str, usize> = BTreeMap::new();
     for leaf in leafs {
         *counts.entry(&leaf.state).or_default() += 1;
@@ -149,6 +167,9 @@
             *counts.entry("failing").or_default() += 1;
         }
     }
+    if limited > 0 {
+        counts.insert("limited", limited);
+    }
     join(counts.iter().map(|(state, count)| format!("{count} {state}")))
 }
 
--- a/crates/gateway/tests/report.rs
+++ b/crates/gateway/tests/report.rs
@@ -55,6 +55,7 @@
         budgets: BTreeMap::from([("db".into(), 5.5), ("orders".into(), 0.25)]),
         leafs: seen.collect(),
         quarantine: BTreeMap::new(),
+        limits: BTreeMap::new(),
     }
 }
 
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -15,7 +15,8 @@
 //! [`placement`] chooses the leaf with the lowest expected latency among those that [`presence`]
 //! considers present, and [`connections`] limits this instance's connections to it. [`timing`] sets
 //! the hedge delay and the time from which a partial answer is sent, [`attempts`] and
-//! [`extra_requests`] limit the retries and hedges, [`shard_throttle`] leaves out shards with too
+//! [`extra_requests`] limit the retries and hedges, [`rate_limit`] the requests to a leaf that states
+//! a limit, [`shard_throttle`] leaves out shards with too
 //! little capacity, and [`merge`] combines the answers.
 //!
 //! Code that depends on the time takes a [`std::time::Instant`] as an argument or reads tokio's
@@ -40,6 +41,7 @@
 pub mod quarantine;
 mod queue;
 mod rate;
+pub mod rate_limit;
 pub mod recent_success;
 pub mod rendezvous;
 pub mod replica;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -147,6 +147,7 @@
     open_connections: usize,
     crash: Option<Crash>,
     crashes: u64,
+    rate_limit: Option<String>,
 }
 
 /// Parts that the tasks of a server share.
@@ -208,8 +209,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let reaction = Reaction::Answer(id.as_bytes().to_vec(), Duration::ZERO);
-        let state =
-            State { reaction, executed: Vec::new(), open_connections: 0, crash: None, crashes: 0 };
+        let state = State {
+            reaction,
+            executed: Vec::new(),
+            open_connections: 0,
+            crash: None,
+            crashes: 0,
+            rate_limit: None,
+        };
         let state = Mutex::new(state);
         let shared = Arc::new(Shared { id: id.into(), names, state, crashed: Notify::new() });
         let task = tokio::spawn(run(listener, address, shared.clone()));
@@ -231,6 +238,12 @@
         lock(&self.shared.state).reaction = reaction;
     }
 
+    /// Sets the limit that the responses state; several values, separated by `|`, become several
+    /// headers.
+    pub fn set_rate_limit(&self, limit: Option<&str>) {
+        lock(&self.shared.state).rate_limit = limit.map(str::to_owned);
+    }
+
     /// Returns the requests that the server has run, in the order of their arrival.
     pub fn executed(&self) -> Vec<Request> {
         lock(&self.shared.state).executed.clone()
@@ -310,7 +323,11 @@
         let reaction = lock(state).reaction.clone();
         let request_id =
             request.headers.get(names.request_id.as_str()).cloned().unwrap_or_default();
-        let matching = headers(names, id, &request_id);
+        let limit = lock(state).rate_limit.clone();
+        let limits = limit.iter().flat_map(|limit| limit.split('|'));
+        let limits: String =
+            limits.map(|limit| format!("{}: {limit}\r\n", names.rate_limit)).collect();
+        let matching = headers(names, id, &request_id) + &limits;
         let mismatched = headers(names, id, "another");
         let not_run = format!("{matching}{}: 1\r\n", names.not_run);
         let expected = request.headers.get(names.expected_leaf.as_str());
