Answer a request that was never sent as not run

Change: an attempt marks its request as in doubt when it sends it, and the mark is cleared when the leaf says that it did not run it. Only a request in doubt is answered 502 or 504.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,6 +4,8 @@
 use std::hash::Hasher;
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -171,6 +173,8 @@
     pub permit: Permit,
     /// Rank of the request.
     pub rank: u8,
+    /// Set when the request is sent.
+    pub in_doubt: Arc<AtomicBool>,
     /// Limits that leafs state.
     pub rate_limits: Arc<RateLimits>,
     /// Memory that the bodies of answers take.
@@ -207,6 +211,7 @@
         return (Outcome::NotSent("limit of the leaf".into()), None);
     }
     let sent = now();
+    context.in_doubt.store(true, Ordering::Relaxed);
     let mut request = build_request(&leaf, &outgoing, &context);
     let response = loop {
         match lease.connection.sender.try_send_request(request).await {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -2,6 +2,8 @@
 //! request allows it, and returns the first answer.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -64,6 +66,8 @@
     pub answer_at: Instant,
     /// Deadline of the caller or of the route, whichever is earlier.
     pub deadline: Instant,
+    /// Whether a leaf may run the request or may have run it, as far as known now.
+    pub in_doubt: Arc<AtomicBool>,
 }
 
 /// Cause of a [`Failure`]. Where failures of several shards are summarized, later variants take
@@ -212,7 +216,8 @@
                 () = sleep_until(self.job.deadline) => {
                     self.pending.iter().for_each(|leaf| self.log(leaf, Reason::TimedOut, ""));
                     self.failure.reason = Reason::TimedOut;
-                    self.failure.may_have_run |= self.attempts.sends() > 0;
+                    // Requests that still wait for a connection have not been sent.
+                    self.failure.may_have_run |= self.job.in_doubt.load(Ordering::Relaxed);
                     self.failure.answer = None;
                     return Err(self.failure.clone());
                 }
@@ -238,6 +243,9 @@
         };
         self.failure.reason = reason;
         self.failure.may_have_run |= may_have_run;
+        if self.pending.is_empty() && !self.failure.may_have_run {
+            self.job.in_doubt.store(false, Ordering::Relaxed);
+        }
         let id = leaf.with_entry(|entry| entry.id.clone());
         if may_have_run {
             self.attempts.record_failure(&id);
@@ -430,6 +438,7 @@
             idempotent: self.job.idempotent,
             permit,
             rank: self.job.rank,
+            in_doubt: self.job.in_doubt.clone(),
             rate_limits: self.gateway.rate_limits().clone(),
             answer_memory: self.gateway.answer_memory().clone(),
         };
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -1,6 +1,7 @@
 //! Handles one request of a caller, from its arrival to the response.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -331,7 +332,8 @@
         unanswered.record_misses(late);
         let covered = parts.len();
         if !timing::meets_coverage(covered, total, coverage_min) {
-            let ran = covered > 0 || failures.may_have_run || !fetches.is_empty();
+            let in_doubt = jobs.iter().any(|job| job.in_doubt.load(Ordering::Relaxed));
+            let ran = covered > 0 || failures.may_have_run || in_doubt;
             let reason = failures.reason();
             let handled = if ran {
                 self.refused(refusal_after_run(reason), reason.into(), (covered, total), sends)
@@ -390,6 +392,7 @@
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
             deadline: self.deadline,
+            in_doubt: Arc::default(),
         }
     }
 
--- a/crates/gateway/tests/forward.rs
+++ b/crates/gateway/tests/forward.rs
@@ -2,15 +2,23 @@
 
 mod common;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::call;
 use common::config;
+use common::entry;
 use common::eventually;
 use common::exchange;
 use common::get;
+use common::options;
 use common::start;
+use jaycrank_gateway::catalog::Entry;
+use jaycrank_gateway::lifecycle::Instance;
+use jaycrank_standin::Catalog;
+use jaycrank_standin::Link;
 use jaycrank_standin::Server;
+use jaycrank_standin::link;
 use jaycrank_standin::server::Reaction;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -170,3 +178,29 @@
     server.set_reaction(Reaction::Hang);
     assert_eq!(call(instance.address(), &get("/read/", "r")).await.status, 504);
 }
+
+/// Guards against requests that only waited for a connection and are answered as if a leaf may have
+/// run them, so that callers can't send them again.
+#[tokio::test]
+async fn requests_that_were_never_sent_are_answered_as_not_run() {
+    let server = Server::start("leaf-0").await.unwrap();
+    let link = Link::start(server.address()).await.unwrap();
+    link.set_state(link::State::Hang);
+    let catalog = Arc::new(Catalog::new());
+    let mut config = config(1, "db", &["db", "other"]);
+    for route in &mut config.routes {
+        route.timeout = Duration::from_millis(250);
+    }
+    catalog.put_config(config);
+    for service in ["db", "other"] {
+        let id = format!("{service}-leaf").into();
+        catalog.put_leaf(Entry { id, address: link.address(), ..entry(&server, service) });
+    }
+    let instance = Instance::start(options(None, Vec::new()), catalog).await.unwrap();
+    eventually("routes and leafs", || instance.gateway().directory().is_complete()).await;
+    for path in ["/read/", "/write/", "/all/"] {
+        let response = call(instance.address(), &get(path, "r")).await;
+        assert_eq!(response.status, 503, "{path}");
+    }
+    assert!(server.executed().is_empty());
+}
