Serve through another instance while cut off from all leafs

Cause: each leaf is judged alone.

Change: silence of all leafs, or new connections that all fail, raise a suspicion; six connections opened as probes, to the leafs that have failed least, decide, within 0.7 s of the cut. While it is cut off, an instance passes whole requests to another one: of the nearest that may help the less loaded of two, once, with the caller's address, the time left, the configuration's version and whether a leaf may have the request. A request that may run once goes only if nothing of it was sent; a lost reply is 502. It closes callers' connections and is not ready unless the others say that they reach no leafs either; then it refuses at once. New: JC0507, JC0708, JC0709.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -68,6 +68,8 @@
     RequestAbandoned,
     /// A request was refused because it crashes leafs, or is being tested for that.
     RequestQuarantined,
+    /// A request was passed to another instance because this one is cut off from all leafs.
+    RequestDelegated,
     /// A version of the routes is in force.
     RoutesApplied,
     /// A stored version of the routes is invalid; the current one stays in force.
@@ -86,6 +88,10 @@
     LeafLimited,
     /// A leaf states a limit that is not valid; the last one holds.
     LeafLimitInvalid,
+    /// The instance is cut off from all leafs.
+    LeafsUnreachable,
+    /// The instance reaches leafs again.
+    LeafsReachable,
     /// The instance received newer documents from a peer.
     PeerDocuments,
     /// The process settings were reloaded.
@@ -120,6 +126,7 @@
             Self::RequestResent => "JC0504",
             Self::RequestAbandoned => "JC0505",
             Self::RequestQuarantined => "JC0506",
+            Self::RequestDelegated => "JC0507",
             Self::RoutesApplied => "JC0601",
             Self::RoutesInvalid => "JC0602",
             Self::LeafChanged => "JC0701",
@@ -129,6 +136,8 @@
             Self::LeafCrashed => "JC0705",
             Self::LeafLimited => "JC0706",
             Self::LeafLimitInvalid => "JC0707",
+            Self::LeafsUnreachable => "JC0708",
+            Self::LeafsReachable => "JC0709",
             Self::PeerDocuments => "JC0801",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
@@ -148,6 +157,7 @@
             | Self::LeafInvalid
             | Self::LeafCrashed
             | Self::LeafLimitInvalid
+            | Self::LeafsUnreachable
             | Self::RequestQuarantined
             | Self::ReloadFailed => Level::Warn,
             _ => Level::Info,
@@ -179,6 +189,7 @@
             Self::RequestResent => "extra request to a leaf",
             Self::RequestAbandoned => "caller of the request disconnected",
             Self::RequestQuarantined => "request was refused because it may crash leafs",
+            Self::RequestDelegated => "request was passed to another instance",
             Self::RoutesApplied => "routes are in force",
             Self::RoutesInvalid => "stored routes are not valid",
             Self::LeafChanged => "entry of a leaf changed",
@@ -188,6 +199,8 @@
             Self::LeafCrashed => "leaf crashed with the request in flight",
             Self::LeafLimited => "limit of a leaf changed",
             Self::LeafLimitInvalid => "limit of a leaf is not valid",
+            Self::LeafsUnreachable => "instance is cut off from all leafs",
+            Self::LeafsReachable => "instance reaches leafs again",
             Self::PeerDocuments => "newer documents were received from a peer",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 
 use crate::answer::Reply;
+use crate::delegation::Delegator;
 use crate::follow::Connectivity;
 use crate::gateway::Gateway;
 use crate::report::DUMP_PATH;
@@ -35,20 +36,35 @@
     gateway: Arc<Gateway>,
     phase: watch::Receiver<Phase>,
     path: SmolStr,
+    delegator: Option<Arc<Delegator>>,
 }
 
 impl Readiness {
     /// Creates a handler that answers at `path`.
     pub fn new(gateway: Arc<Gateway>, phase: watch::Receiver<Phase>, path: SmolStr) -> Self {
-        Self { gateway, phase, path }
+        Self { gateway, phase, path, delegator: None }
     }
+
+    /// Sets the other instances, which may serve callers while this one is cut off from all leafs.
+    pub fn with_delegator(mut self, delegator: Option<Arc<Delegator>>) -> Self {
+        self.delegator = delegator;
+        self
+    }
+}
+
+/// Returns whether callers should use another instance because this one is cut off from all leafs.
+/// If no instance reaches leafs, there is no better one.
+pub(crate) fn is_unready(gateway: &Gateway, delegator: Option<&Delegator>) -> bool {
+    gateway.reachability().is_cut_off()
+        && delegator.is_some_and(|delegator| delegator.has_peers() && !delegator.is_pointless())
 }
 
 #[async_trait]
 impl Handler for Readiness {
     async fn handle(&self, request: Request<Incoming>, _origin: Origin) -> Reply {
-        let ready =
-            *self.phase.borrow() == Phase::Serving && self.gateway.directory().is_complete();
+        let ready = *self.phase.borrow() == Phase::Serving
+            && self.gateway.directory().is_complete()
+            && !is_unready(&self.gateway, self.delegator.as_deref());
         if request.uri().path() != self.path {
             text_reply(StatusCode::NOT_FOUND, String::new())
         } else if ready {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -41,8 +41,10 @@
 use crate::header::number;
 use crate::header::text;
 use crate::leaf::Leaf;
+use crate::pool;
 use crate::pool::Lease;
 use crate::rate_limit::RateLimits;
+use crate::reachability::Reachability;
 use crate::round_trip::Estimator;
 
 /// Largest answer of a leaf, in bytes.
@@ -175,6 +177,8 @@
     pub rank: u8,
     /// Set when the request is sent.
     pub in_doubt: Arc<AtomicBool>,
+    /// Whether this instance reaches leafs.
+    pub reachability: Arc<Reachability>,
     /// Limits that leafs state.
     pub rate_limits: Arc<RateLimits>,
     /// Memory that the bodies of answers take.
@@ -195,7 +199,8 @@
     // A pooled connection may hold a late response to another request, or be closed by the leaf at
     // this moment, so a request that may run only once gets a new connection.
     let fresh = !context.idempotent;
-    let mut lease = match leaf.pool().acquire(fresh).await {
+    context.reachability.record_send();
+    let mut lease = match acquire(&leaf, &context, fresh).await {
         Ok(lease) => lease,
         Err(error) => {
             observation.fail();
@@ -220,7 +225,7 @@
                 // The leaf had closed the pooled connection; nothing was sent.
                 Some(unsent) if lease.connect_time.is_none() => {
                     drop(lease);
-                    lease = match leaf.pool().acquire(true).await {
+                    lease = match acquire(&leaf, &context, true).await {
                         Ok(lease) => lease,
                         Err(error) => {
                             observation.fail();
@@ -250,6 +255,16 @@
     read_response(&leaf, &outgoing, &context, observation, lease, response, sent).await
 }
 
+/// Obtains a connection and records whether one could be opened.
+async fn acquire(leaf: &Leaf, context: &Context, fresh: bool) -> Result<Lease, pool::Error> {
+    let acquired = leaf.pool().acquire(fresh).await;
+    let is_new = acquired.as_ref().map_or(true, |lease| lease.connect_time.is_some());
+    if is_new {
+        context.reachability.record_connect(acquired.is_ok());
+    }
+    acquired
+}
+
 async fn read_response(
     leaf: &Arc<Leaf>,
     outgoing: &Outgoing,
@@ -259,6 +274,7 @@
     response: Response<Incoming>,
     sent: std::time::Instant,
 ) -> Completion {
+    context.reachability.record_answer();
     let (head, body) = response.into_parts();
     let names = &context.names;
     let echoed = text(&head.headers, &names.request_id);
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -66,6 +66,8 @@
     pub answer_at: Instant,
     /// Deadline of the caller or of the route, whichever is earlier.
     pub deadline: Instant,
+    /// Whether another instance has sent the request to a leaf, so that each send is an extra one.
+    pub resent: bool,
     /// Whether a leaf may run the request or may have run it, as far as known now.
     pub in_doubt: Arc<AtomicBool>,
 }
@@ -167,7 +169,9 @@
         limited: None,
         failure,
     };
-    gateway.quotas().deposit(&job.service);
+    if !job.resent {
+        gateway.quotas().deposit(&job.service);
+    }
     fetch.run().await
 }
 
@@ -408,7 +412,7 @@
         let now = Instant::now();
         let (leaf, expected, permit) = self.choose(now)?;
         let id = leaf.with_entry(|entry| entry.id.clone());
-        if self.attempts.sends() > 0 {
+        if self.job.resent || self.attempts.sends() > 0 {
             let granted = self.gateway.quotas().try_spend(&self.job.service);
             event!(
                 Event::RequestResent,
@@ -439,6 +443,7 @@
             permit,
             rank: self.job.rank,
             in_doubt: self.job.in_doubt.clone(),
+            reachability: self.gateway.reachability().clone(),
             rate_limits: self.gateway.rate_limits().clone(),
             answer_memory: self.gateway.answer_memory().clone(),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use crate::header::Names;
 use crate::metrics::Metrics;
 use crate::rate_limit::RateLimits;
+use crate::reachability::Reachability;
 use crate::round_trip::Estimator;
 
 /// Most suspects that run isolated at a time. They run at different leafs where possible.
@@ -221,6 +222,7 @@
     quotas: Quotas,
     throttles: Throttles,
     rate_limits: Arc<RateLimits>,
+    reachability: Arc<Reachability>,
     caller_round_trip: Duration,
     service_times: Mutex<BTreeMap<SmolStr, ServiceTime>>,
     shedder: Shedder,
@@ -245,6 +247,7 @@
             quotas: Quotas::new(options),
             throttles: Throttles::default(),
             rate_limits: Arc::default(),
+            reachability: Arc::default(),
             caller_round_trip: options.caller_round_trip,
             service_times: Mutex::default(),
             shedder: Shedder::new(),
@@ -286,6 +289,11 @@
         &self.rate_limits
     }
 
+    /// Returns whether this instance reaches leafs.
+    pub fn reachability(&self) -> &Arc<Reachability> {
+        &self.reachability
+    }
+
     /// Returns the network round-trip time to callers.
     pub fn caller_round_trip(&self) -> Duration {
         self.caller_round_trip
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,7 +6,8 @@
 //! encode messages, [`query`] runs one request, [`fetch`] obtains one answer from the leafs of one
 //! service, [`attempt`] sends one request over one connection of a [`pool`]. [`quarantine`] keeps
 //! requests that crash leafs from reaching more of them, and [`rate_limit`] leafs from getting more
-//! requests than the limit that they state.
+//! requests than the limit that they state. [`reachability`] tells whether this instance is cut off
+//! from all leafs, and [`delegation`] then passes requests to another one.
 //!
 //! The configuration ([`config`]: routes and services) and leaf entries come from a [`Catalog`].
 //! [`follow`] keeps the [`directory`] of both up to date, and [`peer`] exchanges them among
@@ -27,6 +28,7 @@
 pub mod call;
 pub mod catalog;
 pub mod config;
+pub mod delegation;
 pub mod directory;
 pub mod fetch;
 pub mod follow;
@@ -40,6 +42,7 @@
 pub mod quarantine;
 pub mod query;
 pub mod rate_limit;
+pub mod reachability;
 pub mod relay;
 pub mod report;
 pub mod request;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -8,6 +8,8 @@
 use async_trait::async_trait;
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use smol_str::SmolStr;
@@ -19,10 +21,13 @@
 
 use crate::admin::Admin;
 use crate::admin::Readiness;
+use crate::admin::is_unready;
 use crate::answer::Reply;
 use crate::call::Dispatcher;
 use crate::catalog::Catalog;
 use crate::config::Limits;
+use crate::delegation;
+use crate::delegation::Delegator;
 use crate::follow;
 use crate::follow::Connectivity;
 use crate::gateway::Gateway;
@@ -33,6 +38,7 @@
 use crate::quarantine;
 use crate::query;
 use crate::rate_limit;
+use crate::reachability;
 use crate::relay::Relay;
 use crate::server;
 use crate::server::Connections;
@@ -64,16 +70,26 @@
 }
 
 /// Handler of the requests of callers.
-struct CallerHandler(Arc<Gateway>);
+struct CallerHandler {
+    gateway: Arc<Gateway>,
+    delegator: Option<Arc<Delegator>>,
+}
 
 #[async_trait]
 impl Handler for CallerHandler {
     async fn handle(&self, request: Request<Incoming>, origin: Origin) -> Reply {
-        query::answer(&self.0, request, origin).await
+        let delegator = self.delegator.as_deref();
+        let mut reply = query::answer(&self.gateway, delegator, request, origin).await;
+        if is_unready(&self.gateway, delegator) {
+            // The load balancer sends the caller's next connection to another instance.
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(header::CONNECTION, close);
+        }
+        reply
     }
 
     fn limits(&self) -> Limits {
-        self.0.directory().active().map(|active| active.config().limits).unwrap_or_default()
+        self.gateway.directory().active().map(|active| active.config().limits).unwrap_or_default()
     }
 }
 
@@ -89,9 +105,17 @@
         let gateway = Arc::new(gateway);
         let connectivity = Arc::new(Connectivity::default());
         let (phase, phases) = watch::channel(Phase::Serving);
-        let readiness = Readiness::new(gateway.clone(), phases.clone(), options.ready_path.clone());
+        let peers = options.peer_listen.map(|listen| {
+            let domain = options.failure_domain.clone();
+            Arc::new(Peers::new(listen, domain, options.regions.clone(), &options.seeds))
+        });
+        let delegator = peers.clone().map(|peers| Arc::new(Delegator::new(peers)));
+        let path = options.ready_path.clone();
+        let readiness =
+            Readiness::new(gateway.clone(), phases.clone(), path).with_delegator(delegator.clone());
         server::listen(options.ready_listen, Arc::new(readiness), phases.clone()).await?;
-        let callers = Arc::new(CallerHandler(gateway.clone()));
+        let callers =
+            Arc::new(CallerHandler { gateway: gateway.clone(), delegator: delegator.clone() });
         let (address, connections) =
             server::listen(options.listen, callers, phases.clone()).await?;
         if let Some(listen) = options.admin_listen {
@@ -101,19 +125,21 @@
         let mut tasks =
             vec![tokio::spawn(measure_load(gateway.clone())), tokio::spawn(sweep(gateway.clone()))];
         let mut catalog = catalog;
-        if let Some(listen) = options.peer_listen {
-            let domain = options.failure_domain.clone();
-            let peers = Peers::new(listen, domain, options.regions.clone(), &options.seeds);
-            let peers = Arc::new(peers);
+        tasks.push(tokio::spawn(reachability::watch(gateway.clone())));
+        if let (Some(peers), Some(delegator)) = (peers, delegator) {
+            let listen = peers.own_address();
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
             let suspects = quarantine::Responder::new(gateway.clone());
             let limits = rate_limit::Responder::new(gateway.clone());
+            let delegated = delegation::Responder::new(gateway.clone());
             let dispatcher = Dispatcher::default()
                 .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
                 .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects))
-                .with_service(rate_limit::LIMIT_PATH, Arc::new(limits));
+                .with_service(rate_limit::LIMIT_PATH, Arc::new(limits))
+                .with_service(delegation::DELEGATION_PATH, Arc::new(delegated));
             server::listen(listen, Arc::new(dispatcher), phases).await?;
             tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
+            tasks.push(tokio::spawn(delegator.watch(gateway.clone())));
             tasks.push(tokio::spawn(rate_limit::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(peer::poll_peers(
                 gateway.clone(),
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -198,6 +198,25 @@
         if peers.is_empty() { self.seeds.clone() } else { peers.keys().copied().collect() }
     }
 
+    /// Returns the other instances of this failure domain, then those of other failure domains of the
+    /// region, then all others.
+    pub(crate) fn by_distance(&self) -> [Vec<SocketAddr>; 3] {
+        let peers = self.lock();
+        let own_region = self.regions.get(&self.failure_domain);
+        let mut groups = [Vec::new(), Vec::new(), Vec::new()];
+        for (address, peer) in peers.iter() {
+            let distance = if peer.failure_domain == self.failure_domain {
+                0
+            } else if self.regions.get(&peer.failure_domain) == own_region {
+                1
+            } else {
+                2
+            };
+            groups[distance].push(*address);
+        }
+        groups
+    }
+
     /// Returns the number of instances, including this one.
     pub fn fleet_size(&self) -> FleetSize {
         let peers = self.lock();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -231,6 +231,17 @@
         refused
     }
 
+    /// Returns whether the leaf accepts a new connection, which is kept for reuse.
+    pub(crate) async fn try_open(&self) -> bool {
+        match open(self.address).await {
+            Ok(connection) => {
+                self.keep_idle(connection, 0);
+                true
+            }
+            Err(_) => false,
+        }
+    }
+
     /// Keeps a connection for reuse unless there are more idle connections than free permits, of
     /// which `reserved` are about to be released. Idle connections hold no permits, so this bounds
     /// the open connections.
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -1,12 +1,16 @@
 //! Handles one request of a caller, from its arrival to the response.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use jaycrank_event::Event;
@@ -29,6 +33,8 @@
 use crate::attempt::Answer;
 use crate::attempt::Outgoing;
 use crate::config::Active;
+use crate::delegation;
+use crate::delegation::Delegator;
 use crate::fetch::Fetched;
 use crate::fetch::Job;
 use crate::fetch::Reason;
@@ -46,15 +52,27 @@
 /// Longest retry delay, as a fraction of the time left until the caller's deadline.
 const RETRY_AFTER_DEADLINE_FRACTION: f64 = 0.3;
 
+/// Reason of a request that no leaf ran because this instance is cut off from all of them.
+const UNREACHABLE: &str = "cut-off";
+/// Reason of a request that another instance ran.
+const DELEGATED: &str = "delegated";
+
 /// One request in flight.
 struct Query<'a> {
     gateway: &'a Gateway,
+    /// Other instances that may run the request; `None` if one of them has passed it on.
+    delegator: Option<&'a Delegator>,
+    host: SmolStr,
     active: &'a Active,
     route: &'a Route,
     outgoing: Arc<Outgoing>,
     arrival: Instant,
     answer_at: Instant,
     deadline: Instant,
+    /// Whether another instance has sent the request to a leaf.
+    resent: bool,
+    /// For each fetch, whether a leaf may run the request or may have run it.
+    in_doubt: Mutex<Vec<Arc<AtomicBool>>>,
 }
 
 /// Handled request: the response, and what is logged about it.
@@ -98,8 +116,14 @@
     }
 }
 
-/// Routes a request, obtains its answer and returns the response.
-pub async fn answer(gateway: &Gateway, request: Request<Incoming>, origin: Origin) -> Reply {
+/// Routes a request, obtains its answer and returns the response. While this instance is cut off from
+/// all leafs, `delegator` passes the request to another one.
+pub async fn answer(
+    gateway: &Gateway,
+    delegator: Option<&Delegator>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Reply {
     let arrival = Instant::now();
     let Some(active) = gateway.directory().active() else {
         return refuse(gateway, "", Refusal::NotStarted, Some(RETRY_AFTER_BASE));
@@ -125,16 +149,49 @@
     );
     let query = Query {
         gateway,
+        delegator: delegator.filter(|delegator| delegator.has_peers()),
+        host: received.host.clone(),
         active: &active,
         route,
         outgoing: Arc::new(received.outgoing),
         arrival,
         answer_at: Instant::from_std(answer_at),
         deadline: arrival + timeout,
+        resent: false,
+        in_doubt: Mutex::default(),
     };
     query.run().await
 }
 
+/// Runs a request that another instance passes on. Returns `None` if it must not run here: this
+/// instance has an older configuration, or no such route.
+pub(crate) async fn answer_delegated(
+    gateway: &Gateway,
+    request: delegation::Request,
+) -> Option<Reply> {
+    let arrival = Instant::now();
+    let active = gateway.directory().active()?;
+    if active.version() < request.version {
+        return None;
+    }
+    let outgoing = request.outgoing()?;
+    let route = active.routes().find(&request.host, outgoing.uri.path())?;
+    let query = Query {
+        gateway,
+        delegator: None,
+        host: request.host.clone(),
+        active: &active,
+        route,
+        outgoing: Arc::new(outgoing),
+        arrival,
+        answer_at: arrival + Duration::from_millis(request.answer_in_ms),
+        deadline: arrival + Duration::from_millis(request.deadline_ms).min(route.timeout),
+        resent: request.resent,
+        in_doubt: Mutex::default(),
+    };
+    Some(query.run().await)
+}
+
 /// Refuses a request that has no route yet.
 fn refuse(gateway: &Gateway, id: &str, refusal: Refusal, retry_after: Option<Duration>) -> Reply {
     let reason: &'static str = refusal.into();
@@ -158,10 +215,7 @@
             completed: false,
         };
         let handled = match self.gateway.shedder().admit(self.route) {
-            Some(_admitted) => match self.check_quarantine().await {
-                Ok(isolation) => self.dispatch(isolation.is_some()).await,
-                Err(retry_after) => self.quarantined(retry_after),
-            },
+            Some(_admitted) => self.serve().await,
             None => self.refused(Refusal::Overloaded, "processor", (0, 0), 0),
         };
         guard.completed = true;
@@ -174,6 +228,110 @@
         handled.reply
     }
 
+    /// Runs the request here, or at another instance while this one is cut off from all leafs.
+    async fn serve(&self) -> Handled {
+        let Some(delegator) = self.delegator else { return self.run_here().await };
+        let reachability = self.gateway.reachability();
+        if reachability.is_cut_off() {
+            if let Some(handled) = self.delegate(delegator).await {
+                return handled;
+            }
+            // No instance reaches leafs. Open connections of this one may live on.
+            return match reachability.has_answers() {
+                true => self.run_here().await,
+                false => self.refused(Refusal::NotRun, UNREACHABLE, (0, 0), 0),
+            };
+        }
+        let handled = tokio::select! {
+            biased;
+            handled = self.run_here() => handled,
+            () = reachability.wait_for_silence(), if self.route.idempotent => self.cut_off(),
+        };
+        if !self.may_run_elsewhere(&handled) || !reachability.verdict().await {
+            return handled;
+        }
+        self.delegate(delegator).await.unwrap_or(handled)
+    }
+
+    async fn run_here(&self) -> Handled {
+        match self.check_quarantine().await {
+            Ok(isolation) => self.dispatch(isolation.is_some()).await,
+            Err(retry_after) => self.quarantined(retry_after),
+        }
+    }
+
+    /// Returns the outcome of a request that was in progress when this instance was cut off.
+    fn cut_off(&self) -> Handled {
+        let refusal = if self.is_in_doubt() { Refusal::Lost } else { Refusal::NotRun };
+        self.refused(refusal, UNREACHABLE, (0, 0), 0)
+    }
+
+    /// Returns whether another instance may run a request that has failed here.
+    fn may_run_elsewhere(&self, handled: &Handled) -> bool {
+        let may_run = match handled.result {
+            Err(Refusal::NotRun) => !self.is_in_doubt() || self.route.idempotent,
+            Err(Refusal::Lost | Refusal::TimedOut) => self.route.idempotent,
+            _ => false,
+        };
+        may_run && Instant::now() < self.deadline
+    }
+
+    /// Returns whether a leaf may run the request or may have run it.
+    fn is_in_doubt(&self) -> bool {
+        let flags = self.in_doubt.lock().unwrap_or_else(PoisonError::into_inner);
+        flags.iter().any(|flag| flag.load(Ordering::Relaxed))
+    }
+
+    /// Passes the request to another instance; returns `None` if none runs it.
+    async fn delegate(&self, delegator: &Delegator) -> Option<Handled> {
+        let in_doubt = self.is_in_doubt();
+        let request = delegation::Request {
+            method: self.outgoing.method.as_str().into(),
+            uri: self.outgoing.uri.to_string(),
+            headers: delegation::encode_headers(&self.outgoing.headers),
+            body: self.outgoing.body.clone(),
+            id: self.outgoing.id.clone(),
+            caller: self.outgoing.caller,
+            host: self.host.clone(),
+            deadline_ms: delegation::millis_until(self.deadline),
+            answer_in_ms: delegation::millis_until(self.answer_at),
+            version: self.active.version(),
+            resent: in_doubt,
+        };
+        let (peer, reply) =
+            match delegator.run(&request, self.route.idempotent, self.deadline).await {
+                delegation::Outcome::Answered(peer, reply) => (peer, reply),
+                delegation::Outcome::Declined => return None,
+                delegation::Outcome::Lost => {
+                    let refusal = match Instant::now() < self.deadline {
+                        true => Refusal::Lost,
+                        false => Refusal::TimedOut,
+                    };
+                    return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
+                }
+            };
+        let status = reply.status();
+        event!(
+            Event::RequestDelegated,
+            request = self.outgoing.id,
+            route = self.route.name,
+            peer = peer,
+            status = status.as_u16(),
+            ms = self.arrival.elapsed().as_millis()
+        );
+        let result = match status {
+            StatusCode::SERVICE_UNAVAILABLE => Err(Refusal::NotRun),
+            status if status.is_server_error() => Err(Refusal::Lost),
+            _ => Ok(()),
+        };
+        if in_doubt && status == StatusCode::SERVICE_UNAVAILABLE {
+            // The other instance did not run it, but a leaf may have run it for this one.
+            return Some(self.refused(Refusal::Lost, DELEGATED, (0, 0), 1));
+        }
+        let missing = String::new();
+        Some(Handled { reply, result, reason: DELEGATED, coverage: (0, 0), missing, sends: 0 })
+    }
+
     /// Returns the permit to run a suspect isolated, or `None` for a request that is not suspected.
     ///
     /// # Errors
@@ -332,8 +490,7 @@
         unanswered.record_misses(late);
         let covered = parts.len();
         if !timing::meets_coverage(covered, total, coverage_min) {
-            let in_doubt = jobs.iter().any(|job| job.in_doubt.load(Ordering::Relaxed));
-            let ran = covered > 0 || failures.may_have_run || in_doubt;
+            let ran = covered > 0 || failures.may_have_run || self.is_in_doubt();
             let reason = failures.reason();
             let handled = if ran {
                 self.refused(refusal_after_run(reason), reason.into(), (covered, total), sends)
@@ -383,6 +540,10 @@
     }
 
     fn job(&self, service: &SmolStr, isolated: bool) -> Job {
+        let in_doubt = Arc::<AtomicBool>::default();
+        let mut flags = self.in_doubt.lock().unwrap_or_else(PoisonError::into_inner);
+        flags.push(in_doubt.clone());
+        drop(flags);
         Job {
             service: service.clone(),
             outgoing: self.outgoing.clone(),
@@ -392,7 +553,8 @@
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
             deadline: self.deadline,
-            in_doubt: Arc::default(),
+            resent: self.resent,
+            in_doubt,
         }
     }
 
@@ -458,6 +620,7 @@
             sends = handled.sends
         );
         let outcome = match handled.result {
+            Ok(()) if handled.reason == DELEGATED => DELEGATED,
             Ok(()) if handled.coverage.0 < handled.coverage.1 => "partial",
             Ok(()) => "complete",
             Err(refusal) => refusal.into(),
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -55,13 +55,19 @@
 pub struct Client {
     address: SocketAddr,
     reply_bytes_max: usize,
+    connect_timeout: Option<Duration>,
     idle: Mutex<Vec<Sender>>,
 }
 
 impl Client {
     /// Creates a client without connections.
     pub fn new(address: SocketAddr) -> Self {
-        Self { address, reply_bytes_max: REPLY_BYTES_MAX, idle: Mutex::default() }
+        Self {
+            address,
+            reply_bytes_max: REPLY_BYTES_MAX,
+            connect_timeout: None,
+            idle: Mutex::default(),
+        }
     }
 
     /// Sets the maximum size of a reply body, in bytes.
@@ -70,6 +76,13 @@
         self
     }
 
+    /// Sets the time within which a connection must be opened. Without it, only the time limit of the
+    /// call applies.
+    pub fn with_connect_timeout(mut self, time: Duration) -> Self {
+        self.connect_timeout = Some(time);
+        self
+    }
+
     /// Returns the address of the server.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -119,7 +132,12 @@
     }
 
     async fn connect(&self) -> Result<Sender, Error> {
-        let stream = TcpStream::connect(self.address).await.map_err(not_sent)?;
+        let connect = TcpStream::connect(self.address);
+        let stream = match self.connect_timeout {
+            Some(time) => timeout(time, connect).await.map_err(not_sent)?,
+            None => connect.await,
+        };
+        let stream = stream.map_err(not_sent)?;
         set_tcp_options(&stream).map_err(not_sent)?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(not_sent)?;
         tokio::spawn(driver);
