--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -120,6 +120,8 @@
     Answered(Answer),
     /// The leaf stated that it did not run the request.
     NotRun(SmolStr),
+    /// The request was not sent because of the limit that the leaf states.
+    Limited,
     /// No byte of the request was sent.
     NotSent(SmolStr),
     /// The request was sent without a usable answer; it may have run.
@@ -213,7 +215,7 @@
     }
     if !leaf.rate_limit().confirm(context.permit, context.rank) {
         leaf.pool().release_unused(lease);
-        return (Outcome::NotSent("limit of the leaf".into()), None);
+        return (Outcome::Limited, None);
     }
     let sent = now();
     context.in_doubt.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -41,6 +41,8 @@
     NotSent(SmolStr),
     /// There was no reply in time; the instance may have received the message.
     Lost(SmolStr),
+    /// The instance answered with this status that it does not take the message.
+    Rejected(u16),
     /// The message or the reply can't be decoded.
     Invalid(SmolStr),
 }
@@ -50,6 +52,7 @@
         match self {
             Self::NotSent(cause) => write!(f, "message not sent: {cause}"),
             Self::Lost(cause) => write!(f, "reply lost: {cause}"),
+            Self::Rejected(status) => write!(f, "message rejected with status {status}"),
             Self::Invalid(cause) => write!(f, "message is not valid: {cause}"),
         }
     }
@@ -135,6 +138,9 @@
         .body(Full::new(Bytes::from(encode(message)?)))
         .map_err(invalid)?;
     let response = client.call(request, time_limit).await?;
+    if response.status() != StatusCode::OK {
+        return Err(Error::Rejected(response.status().as_u16()));
+    }
     decode(response.body())
 }
 
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -30,6 +30,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -41,6 +42,7 @@
 use crate::gateway::Gateway;
 use crate::peer::Peers;
 use crate::query;
+use crate::server::Phase;
 
 /// HTTP path at which other instances pass requests to this one.
 pub(crate) const DELEGATION_PATH: &str = "/delegation";
@@ -222,16 +224,25 @@
     }
 
     /// Passes a request to an instance that reaches leafs.
-    pub(crate) async fn run(&self, request: &Request, idempotent: bool, end: Instant) -> Outcome {
-        let message = Message::Run(request.clone());
+    pub(crate) async fn run(&self, request: Request, idempotent: bool, end: Instant) -> Outcome {
+        let mut request = request;
         let mut offered = Vec::new();
         while offered.len() < OFFERS_MAX
             && let Some((peer, client)) = self.choose(&offered)
         {
             offered.push(peer);
             let _outstanding = Outstanding::new(self, peer);
-            let time_left = end.saturating_duration_since(Instant::now());
-            match call::call(&client, DELEGATION_PATH, &message, time_left).await {
+            // A pooled connection may be closed at this moment, so that it would be unknown whether
+            // a request that may run only once was received.
+            let client = if idempotent { client } else { Helper::new(peer).client };
+            let mut time = end.saturating_duration_since(Instant::now());
+            if idempotent && offered.len() < OFFERS_MAX {
+                // The instance may be frozen; another one then still has time to answer.
+                time /= 2;
+            }
+            request.deadline_ms = millis_until(end);
+            let message = Message::Run(request.clone());
+            match call::call(&client, DELEGATION_PATH, &message, time).await {
                 Ok(Answer::Answered { status, headers, body, load }) => {
                     self.record(peer, Some(Status { helps: true, load }));
                     return match reply(status, headers, body) {
@@ -242,12 +253,13 @@
                 Ok(Answer::Declined(status) | Answer::Status(status)) => {
                     self.record(peer, Some(status));
                 }
-                Err(call::Error::NotSent(_)) => self.record(peer, None),
+                Err(call::Error::NotSent(_) | call::Error::Rejected(_)) => self.record(peer, None),
                 Err(call::Error::Lost(_) | call::Error::Invalid(_)) => {
                     self.record(peer, None);
                     if !idempotent || Instant::now() >= end {
                         return Outcome::Lost;
                     }
+                    request.resent = true;
                 }
             }
         }
@@ -341,7 +353,8 @@
 /// Runs the requests that other instances pass on.
 pub(crate) struct Responder {
     gateway: Arc<Gateway>,
-    running: AtomicUsize,
+    phase: watch::Receiver<Phase>,
+    running: Arc<AtomicUsize>,
 }
 
 /// Guard that counts a request of another instance as running.
@@ -363,14 +376,20 @@
 
 impl Responder {
     /// Creates a responder that runs requests by the routes of `gateway`.
-    pub(crate) fn new(gateway: Arc<Gateway>) -> Self {
-        Self { gateway, running: AtomicUsize::new(0) }
+    pub(crate) fn new(gateway: Arc<Gateway>, phase: watch::Receiver<Phase>) -> Self {
+        Self { gateway, phase, running: Arc::default() }
+    }
+
+    /// Returns the number of requests of other instances in progress.
+    pub(crate) fn running(&self) -> Arc<AtomicUsize> {
+        self.running.clone()
     }
 
     fn status(&self) -> Status {
         let load = u32::try_from(self.gateway.shedder().admitted()).unwrap_or(u32::MAX);
-        let helps =
-            !self.gateway.reachability().is_cut_off() && self.gateway.directory().is_complete();
+        let helps = *self.phase.borrow() == Phase::Serving
+            && !self.gateway.reachability().is_cut_off()
+            && self.gateway.directory().is_complete();
         Status { helps, load }
     }
 
@@ -382,7 +401,7 @@
             return Answer::Declined(status);
         }
         let Some(reply) = query::answer_delegated(&self.gateway, request).await else {
-            return Answer::Declined(busy);
+            return Answer::Declined(status);
         };
         let (head, body) = reply.into_parts();
         let Ok(body) = body.collect().await;
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -237,6 +237,7 @@
                 self.failure.answer = Some(answer);
                 (Reason::Failed, status, true)
             }
+            Outcome::Limited => (Reason::Limited, SmolStr::default(), false),
             Outcome::NotRun(detail) => (Reason::Rejected, detail, false),
             Outcome::NotSent(detail) => (Reason::Unreachable, detail, false),
             Outcome::Lost(detail) => (Reason::Lost, detail, true),
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -3,6 +3,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_trait::async_trait;
@@ -64,6 +66,8 @@
     gateway: Arc<Gateway>,
     phase: watch::Sender<Phase>,
     connections: Connections,
+    /// Number of requests of other instances in progress.
+    delegated_running: Arc<AtomicUsize>,
     address: SocketAddr,
     grace: Duration,
     tasks: Vec<JoinHandle<()>>,
@@ -125,13 +129,15 @@
         let mut tasks =
             vec![tokio::spawn(measure_load(gateway.clone())), tokio::spawn(sweep(gateway.clone()))];
         let mut catalog = catalog;
+        let mut delegated_running = Arc::default();
         tasks.push(tokio::spawn(reachability::watch(gateway.clone())));
         if let (Some(peers), Some(delegator)) = (peers, delegator) {
             let listen = peers.own_address();
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
             let suspects = quarantine::Responder::new(gateway.clone());
             let limits = rate_limit::Responder::new(gateway.clone());
-            let delegated = delegation::Responder::new(gateway.clone());
+            let delegated = delegation::Responder::new(gateway.clone(), phases.clone());
+            delegated_running = delegated.running();
             let dispatcher = Dispatcher::default()
                 .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
                 .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects))
@@ -153,7 +159,7 @@
         tasks.push(tokio::spawn(follow::follow(gateway.clone(), catalog, connectivity)));
         event!(Event::Listening, instance = options.name, caller = address);
         let Options { name, grace, .. } = options;
-        Ok(Self { name, gateway, phase, connections, address, grace, tasks })
+        Ok(Self { name, gateway, phase, connections, delegated_running, address, grace, tasks })
     }
 
     /// Returns the address for callers.
@@ -183,7 +189,9 @@
         self.phase.send_replace(Phase::Leaving);
         sleep_until((started + BALANCER_REMOVAL_TIME).min(end)).await;
         self.phase.send_replace(Phase::Closing);
-        while self.connections.count() > 0 && Instant::now() < end {
+        let in_progress =
+            || self.connections.count() + self.delegated_running.load(Ordering::Relaxed);
+        while in_progress() > 0 && Instant::now() < end {
             sleep(DRAIN_CHECK_INTERVAL).await;
         }
         self.tasks.iter().for_each(JoinHandle::abort);
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -298,18 +298,18 @@
             version: self.active.version(),
             resent: in_doubt,
         };
-        let (peer, reply) =
-            match delegator.run(&request, self.route.idempotent, self.deadline).await {
-                delegation::Outcome::Answered(peer, reply) => (peer, reply),
-                delegation::Outcome::Declined => return None,
-                delegation::Outcome::Lost => {
-                    let refusal = match Instant::now() < self.deadline {
-                        true => Refusal::Lost,
-                        false => Refusal::TimedOut,
-                    };
-                    return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
-                }
-            };
+        let (peer, reply) = match delegator.run(request, self.route.idempotent, self.deadline).await
+        {
+            delegation::Outcome::Answered(peer, reply) => (peer, reply),
+            delegation::Outcome::Declined => return None,
+            delegation::Outcome::Lost => {
+                let refusal = match Instant::now() < self.deadline {
+                    true => Refusal::Lost,
+                    false => Refusal::TimedOut,
+                };
+                return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
+            }
+        };
         let status = reply.status();
         event!(
             Event::RequestDelegated,
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -151,7 +151,11 @@
     /// Takes permission to send a request of this rank. Returns `None` if the leaf is limited and
     /// there is no token.
     pub(crate) fn try_acquire(&self, rank: u8) -> Option<Permit> {
-        self.lock().try_acquire(rank, now())
+        if self.is_limited() {
+            self.lock().try_acquire(rank, now())
+        } else {
+            Some(Permit::UNLIMITED)
+        }
     }
 
     /// Returns whether a request with this permit may be sent now. The leaf may have stated a limit,
@@ -652,7 +656,9 @@
     let contact = match &answer {
         Ok(_) => Contact::Reached,
         // An instance of a version without limits grants nothing either.
-        Err(call::Error::NotSent(_) | call::Error::Invalid(_)) => Contact::Ended,
+        Err(call::Error::NotSent(_) | call::Error::Rejected(_) | call::Error::Invalid(_)) => {
+            Contact::Ended
+        }
         Err(call::Error::Lost(_)) => Contact::Missed,
     };
     limits.record_contact(client.address(), contact);
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -3,6 +3,7 @@
 //! [`policy::reachability`](jaycrank_policy::reachability) decides; this module probes leafs when
 //! there is a suspicion, and until the cut has ended.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,6 +16,7 @@
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_policy::reachability::Change;
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -22,9 +24,10 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::leaf::Leaf;
 
 /// Most leafs that one round probes.
-const PROBES_MAX: usize = 6;
+const PROBES_MAX: usize = 8;
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Interval between rounds of probes while the instance is cut off.
@@ -142,10 +145,7 @@
 /// Opens connections to some leafs and records how many accept one.
 async fn probe(gateway: &Gateway) {
     let started = Instant::now();
-    let mut leafs = gateway.directory().leafs();
-    // Leafs that have failed may have ended, and say little about the others.
-    leafs.sort_by_cached_key(|leaf| (leaf.stats().failures(), rand::random::<u32>()));
-    leafs.truncate(PROBES_MAX);
+    let leafs = choose_leafs(gateway.directory().leafs());
     let probes = leafs.iter().map(|leaf| timeout(PROBE_TIMEOUT, leaf.pool().try_open()));
     let outcomes = join_all(probes).await;
     let reached = outcomes.iter().filter(|outcome| matches!(outcome, Ok(true))).count();
@@ -162,6 +162,20 @@
     reachability.cut_off.send_replace(cut_off);
 }
 
+/// Chooses leafs of different services. Those that have failed least come first: a leaf that has ended
+/// says nothing about the others.
+fn choose_leafs(mut leafs: Vec<Arc<Leaf>>) -> Vec<Arc<Leaf>> {
+    leafs.sort_by_cached_key(|leaf| (leaf.stats().failures(), rand::random::<u32>()));
+    let mut counts: BTreeMap<SmolStr, usize> = BTreeMap::new();
+    leafs.sort_by_cached_key(|leaf| {
+        let count = counts.entry(leaf.with_entry(|entry| entry.service.clone())).or_default();
+        *count += 1;
+        *count
+    });
+    leafs.truncate(PROBES_MAX);
+    leafs
+}
+
 fn now() -> std::time::Instant {
     Instant::now().into_std()
 }
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -221,8 +221,11 @@
         assert_eq!(response.status, 503, "{path}");
         assert!(response.headers.contains_key("retry-after"));
     }
+    // Instances learn from each other that none of them is better.
     for index in 0..INSTANCES {
-        assert_eq!(tier.ready_status(index).await, 200, "no instance is better than this one");
+        while tier.ready_status(index).await != 200 {
+            sleep(Duration::from_millis(50)).await;
+        }
     }
 }
 
--- a/crates/http/src/socket.rs
+++ b/crates/http/src/socket.rs
@@ -12,7 +12,8 @@
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle time before the first keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered keepalive probes after which the kernel closes a connection.
+/// Number of unanswered keepalive probes after which the kernel closes a connection. Where the kernel
+/// supports [`USER_TIMEOUT`], that decides instead, whatever their number.
 const KEEPALIVE_PROBES_MAX: u32 = 2;
 
 /// Sets the options with which the kernel detects a peer that vanished without closing the
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -123,6 +123,9 @@
 }
 
 impl Permit {
+    /// Permission to send a request to a leaf without a limit.
+    pub const UNLIMITED: Self = Self { lapses: None };
+
     /// Returns whether a request may still be sent to a leaf that has a limit.
     pub fn is_valid(&self, now: Instant) -> bool {
         self.lapses.is_some_and(|lapses| now < lapses)
@@ -177,7 +180,7 @@
     /// is no token, or if a more urgent request waits for one.
     pub fn try_acquire(&mut self, rank: u8, now: Instant) -> Option<Permit> {
         if self.rate(now).is_none() {
-            return Some(Permit { lapses: None });
+            return Some(Permit::UNLIMITED);
         }
         if self.waiting.range(..rank).next().is_some() {
             return None;
--- a/crates/policy/src/reachability.rs
+++ b/crates/policy/src/reachability.rs
@@ -12,7 +12,7 @@
 /// Requests sent in a silence that raise a suspicion.
 const SILENT_REQUESTS: u32 = 5;
 /// Failed connections without a successful one that raise a suspicion.
-const CONNECT_FAILURES: u32 = 3;
+const CONNECT_FAILURES: u32 = 2;
 /// Time after probes that succeeded before another suspicion.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
 /// Consecutive rounds of probes that succeed until the instance is connected again, so that it does
--- a/crates/policy/tests/reachability.rs
+++ b/crates/policy/tests/reachability.rs
@@ -40,9 +40,9 @@
     let now = Instant::now();
     let mut reachability = Reachability::default();
     reachability.record_answer(now);
-    (0..2).for_each(|_| reachability.record_connect(false));
+    reachability.record_connect(false);
     reachability.record_connect(true);
-    (0..2).for_each(|_| reachability.record_connect(false));
+    reachability.record_connect(false);
     assert!(!reachability.is_suspected(now), "some leafs fail");
     reachability.record_connect(false);
     assert!(reachability.is_suspected(now));
