Pass on with a request the leafs that already have it

Cause: an instance that gets a request after a cut knew that leafs have it, but not which, and chose a new one.

Change: the leafs that may run a request are recorded by service (sent::SentLeafs) and passed on; the other instance counts them against maxAttempts, repeats at them only, and takes a token of the budget of extra requests for each send to a service that has one. After a lost reply a request goes to no third instance, since it is unknown where it ran.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,8 +4,6 @@
 use std::hash::Hasher;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -46,6 +44,7 @@
 use crate::rate_limit::RateLimits;
 use crate::reachability::Reachability;
 use crate::round_trip::Estimator;
+use crate::sent::SentLeafs;
 
 /// Largest answer of a leaf, in bytes.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
@@ -177,8 +176,10 @@
     pub permit: Permit,
     /// Rank of the request.
     pub rank: u8,
-    /// Set when the request is sent.
-    pub in_doubt: Arc<AtomicBool>,
+    /// Service of the leaf.
+    pub service: SmolStr,
+    /// Leafs that may run the request.
+    pub sent: Arc<SentLeafs>,
     /// Whether this instance reaches leafs.
     pub reachability: Arc<Reachability>,
     /// Limits that leafs state.
@@ -218,7 +219,7 @@
         return (Outcome::Limited, None);
     }
     let sent = now();
-    context.in_doubt.store(true, Ordering::Relaxed);
+    context.sent.insert(&context.service, leaf.with_entry(|entry| entry.id.clone()));
     let mut request = build_request(&leaf, &outgoing, &context);
     let response = loop {
         match lease.connection.sender.try_send_request(request).await {
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -5,6 +5,7 @@
 //! other instances reach the path, which is served by their listener.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,6 +39,7 @@
 use crate::attempt::Outgoing;
 use crate::call;
 use crate::call::Service;
+use crate::catalog::LeafId;
 use crate::config::Version;
 use crate::gateway::Gateway;
 use crate::peer::Peers;
@@ -81,8 +83,8 @@
     pub(crate) answer_in_ms: u64,
     /// Version of the configuration at the sender; an older one must not be applied.
     pub(crate) version: Version,
-    /// Whether the sender has sent the request to a leaf.
-    pub(crate) resent: bool,
+    /// Leafs that the sender has sent the request to, by service.
+    pub(crate) sent: BTreeMap<SmolStr, BTreeSet<LeafId>>,
 }
 
 impl Request {
@@ -108,7 +110,7 @@
 enum Message {
     /// Asks whether the instance could run requests.
     Status,
-    Run(Request),
+    Run(Box<Request>),
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -236,12 +238,12 @@
             // a request that may run only once was received.
             let client = if idempotent { client } else { Helper::new(peer).client };
             let mut time = end.saturating_duration_since(Instant::now());
-            if idempotent && offered.len() < OFFERS_MAX {
-                // The instance may be frozen; another one then still has time to answer.
+            if idempotent {
+                // The instance may be frozen; the caller then still has time for another one.
                 time /= 2;
             }
             request.deadline_ms = millis_until(end);
-            let message = Message::Run(request.clone());
+            let message = Message::Run(Box::new(request.clone()));
             match call::call(&client, DELEGATION_PATH, &message, time).await {
                 Ok(Answer::Answered { status, headers, body, load }) => {
                     self.record(peer, Some(Status { helps: true, load }));
@@ -255,11 +257,10 @@
                 }
                 Err(call::Error::NotSent(_) | call::Error::Rejected(_)) => self.record(peer, None),
                 Err(call::Error::Lost(_) | call::Error::Invalid(_)) => {
+                    // It is unknown which leafs got the request, so the limit on them could be
+                    // exceeded by another instance.
                     self.record(peer, None);
-                    if !idempotent || Instant::now() >= end {
-                        return Outcome::Lost;
-                    }
-                    request.resent = true;
+                    return Outcome::Lost;
                 }
             }
         }
@@ -419,7 +420,7 @@
     async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
         let answer = match call::decode(message)? {
             Message::Status => Answer::Status(self.status()),
-            Message::Run(request) => self.run(request).await,
+            Message::Run(request) => self.run(*request).await,
         };
         call::encode(&answer)
     }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -2,8 +2,6 @@
 //! request allows it, and returns the first answer.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::FutureExt;
@@ -39,6 +37,7 @@
 use crate::quarantine;
 use crate::rate_limit;
 use crate::rate_limit::Waiting;
+use crate::sent::SentLeafs;
 
 /// Time for which a hedged request stays open at the slower leaf after the other one has answered.
 /// A leaf that pauses briefly still answers in time, so its connection can be reused. The
@@ -66,10 +65,8 @@
     pub answer_at: Instant,
     /// Deadline of the caller or of the route, whichever is earlier.
     pub deadline: Instant,
-    /// Whether another instance has sent the request to a leaf, so that each send is an extra one.
-    pub resent: bool,
-    /// Whether a leaf may run the request or may have run it, as far as known now.
-    pub in_doubt: Arc<AtomicBool>,
+    /// Leafs that may run the request or may have run it.
+    pub sent: Arc<SentLeafs>,
 }
 
 /// Cause of a [`Failure`]. Where failures of several shards are summarized, later variants take
@@ -128,6 +125,8 @@
     job: &'a Job,
     in_flight: AttemptSet,
     attempts: Attempts,
+    /// Whether another instance has sent the request to a leaf, so that each send is an extra one.
+    resent: bool,
     /// Leafs with a request in flight.
     pending: Vec<Arc<Leaf>>,
     started: Instant,
@@ -156,11 +155,13 @@
         answer: None,
         retry_after: Duration::ZERO,
     };
+    let sent_before = job.sent.of_service(&job.service);
     let mut fetch = Fetch {
         gateway,
         job,
         in_flight: FuturesUnordered::new(),
-        attempts: Attempts::new(job.attempts_max),
+        resent: !sent_before.is_empty(),
+        attempts: Attempts::new(job.attempts_max).with_failed(sent_before.iter().cloned()),
         pending: Vec::new(),
         started: Instant::now(),
         suspected: false,
@@ -169,7 +170,7 @@
         limited: None,
         failure,
     };
-    if !job.resent {
+    if sent_before.is_empty() {
         gateway.quotas().deposit(&job.service);
     }
     fetch.run().await
@@ -221,7 +222,8 @@
                     self.pending.iter().for_each(|leaf| self.log(leaf, Reason::TimedOut, ""));
                     self.failure.reason = Reason::TimedOut;
                     // Requests that still wait for a connection have not been sent.
-                    self.failure.may_have_run |= self.job.in_doubt.load(Ordering::Relaxed);
+                    self.failure.may_have_run |=
+                        !self.job.sent.of_service(&self.job.service).is_empty();
                     self.failure.answer = None;
                     return Err(self.failure.clone());
                 }
@@ -248,10 +250,10 @@
         };
         self.failure.reason = reason;
         self.failure.may_have_run |= may_have_run;
-        if self.pending.is_empty() && !self.failure.may_have_run {
-            self.job.in_doubt.store(false, Ordering::Relaxed);
-        }
         let id = leaf.with_entry(|entry| entry.id.clone());
+        if !may_have_run && !self.attempts.has_failed(&id) {
+            self.job.sent.remove(&self.job.service, &id);
+        }
         if may_have_run {
             self.attempts.record_failure(&id);
         } else {
@@ -413,7 +415,7 @@
         let now = Instant::now();
         let (leaf, expected, permit) = self.choose(now)?;
         let id = leaf.with_entry(|entry| entry.id.clone());
-        if self.job.resent || self.attempts.sends() > 0 {
+        if self.resent || self.attempts.sends() > 0 {
             let granted = self.gateway.quotas().try_spend(&self.job.service);
             event!(
                 Event::RequestResent,
@@ -443,7 +445,8 @@
             idempotent: self.job.idempotent,
             permit,
             rank: self.job.rank,
-            in_doubt: self.job.in_doubt.clone(),
+            service: self.job.service.clone(),
+            sent: self.job.sent.clone(),
             reachability: self.gateway.reachability().clone(),
             rate_limits: self.gateway.rate_limits().clone(),
             answer_memory: self.gateway.answer_memory().clone(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod request;
 pub mod round_trip;
 pub mod run;
+pub mod sent;
 pub mod server;
 
 pub use crate::catalog::Catalog;
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -1,10 +1,6 @@
 //! Handles one request of a caller, from its arrival to the response.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
@@ -43,6 +39,7 @@
 use crate::quarantine::SUSPECT_WAIT_MAX;
 use crate::rate_limit;
 use crate::request;
+use crate::sent::SentLeafs;
 use crate::server::Origin;
 
 /// Part of the caller's deadline that is reserved for sending the response.
@@ -69,10 +66,8 @@
     arrival: Instant,
     answer_at: Instant,
     deadline: Instant,
-    /// Whether another instance has sent the request to a leaf.
-    resent: bool,
-    /// For each fetch, whether a leaf may run the request or may have run it.
-    in_doubt: Mutex<Vec<Arc<AtomicBool>>>,
+    /// Leafs that may run the request or may have run it.
+    sent: Arc<SentLeafs>,
 }
 
 /// Handled request: the response, and what is logged about it.
@@ -157,8 +152,7 @@
         arrival,
         answer_at: Instant::from_std(answer_at),
         deadline: arrival + timeout,
-        resent: false,
-        in_doubt: Mutex::default(),
+        sent: Arc::default(),
     };
     query.run().await
 }
@@ -186,8 +180,7 @@
         arrival,
         answer_at: arrival + Duration::from_millis(request.answer_in_ms),
         deadline: arrival + Duration::from_millis(request.deadline_ms).min(route.timeout),
-        resent: request.resent,
-        in_doubt: Mutex::default(),
+        sent: Arc::new(SentLeafs::new(request.sent)),
     };
     Some(query.run().await)
 }
@@ -262,29 +255,23 @@
 
     /// Returns the outcome of a request that was in progress when this instance was cut off.
     fn cut_off(&self) -> Handled {
-        let refusal = if self.is_in_doubt() { Refusal::Lost } else { Refusal::NotRun };
+        let refusal = if self.sent.is_empty() { Refusal::NotRun } else { Refusal::Lost };
         self.refused(refusal, UNREACHABLE, (0, 0), 0)
     }
 
     /// Returns whether another instance may run a request that has failed here.
     fn may_run_elsewhere(&self, handled: &Handled) -> bool {
         let may_run = match handled.result {
-            Err(Refusal::NotRun) => !self.is_in_doubt() || self.route.idempotent,
+            Err(Refusal::NotRun) => self.sent.is_empty() || self.route.idempotent,
             Err(Refusal::Lost | Refusal::TimedOut) => self.route.idempotent,
             _ => false,
         };
         may_run && Instant::now() < self.deadline
     }
 
-    /// Returns whether a leaf may run the request or may have run it.
-    fn is_in_doubt(&self) -> bool {
-        let flags = self.in_doubt.lock().unwrap_or_else(PoisonError::into_inner);
-        flags.iter().any(|flag| flag.load(Ordering::Relaxed))
-    }
-
     /// Passes the request to another instance; returns `None` if none runs it.
     async fn delegate(&self, delegator: &Delegator) -> Option<Handled> {
-        let in_doubt = self.is_in_doubt();
+        let in_doubt = !self.sent.is_empty();
         let request = delegation::Request {
             method: self.outgoing.method.as_str().into(),
             uri: self.outgoing.uri.to_string(),
@@ -296,7 +283,7 @@
             deadline_ms: delegation::millis_until(self.deadline),
             answer_in_ms: delegation::millis_until(self.answer_at),
             version: self.active.version(),
-            resent: in_doubt,
+            sent: self.sent.to_map(),
         };
         let (peer, reply) = match delegator.run(request, self.route.idempotent, self.deadline).await
         {
@@ -490,7 +477,7 @@
         unanswered.record_misses(late);
         let covered = parts.len();
         if !timing::meets_coverage(covered, total, coverage_min) {
-            let ran = covered > 0 || failures.may_have_run || self.is_in_doubt();
+            let ran = covered > 0 || failures.may_have_run || !self.sent.is_empty();
             let reason = failures.reason();
             let handled = if ran {
                 self.refused(refusal_after_run(reason), reason.into(), (covered, total), sends)
@@ -540,10 +527,6 @@
     }
 
     fn job(&self, service: &SmolStr, isolated: bool) -> Job {
-        let in_doubt = Arc::<AtomicBool>::default();
-        let mut flags = self.in_doubt.lock().unwrap_or_else(PoisonError::into_inner);
-        flags.push(in_doubt.clone());
-        drop(flags);
         Job {
             service: service.clone(),
             outgoing: self.outgoing.clone(),
@@ -553,8 +536,7 @@
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
             deadline: self.deadline,
-            resent: self.resent,
-            in_doubt,
+            sent: self.sent.clone(),
         }
     }
 
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 use common::options;
 use jaycrank_gateway::catalog::Entry;
 use jaycrank_gateway::lifecycle::Instance;
+use jaycrank_policy::route::Route;
 use jaycrank_standin::Catalog;
 use jaycrank_standin::Link;
 use jaycrank_standin::Server;
@@ -67,6 +69,13 @@
         for index in 0..INSTANCES {
             let catalog = Arc::new(Catalog::new());
             let mut config = config(1, "db", &SHARDS);
+            let single = Route {
+                name: "single".into(),
+                prefix: "/single/".into(),
+                attempts_max: 1,
+                ..config.routes[0].clone()
+            };
+            config.routes.push(single);
             config.routes.iter_mut().for_each(|route| route.timeout = ROUTE_TIMEOUT);
             catalog.put_config(config);
             let mut links = Vec::new();
@@ -204,6 +213,32 @@
     }
 }
 
+/// Guards against a request that runs on more leafs than its route allows, because the instance that
+/// gets it after a cut does not know the leafs that already have it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn delegated_requests_keep_to_the_leafs_that_their_route_allows() {
+    let tier = Tier::start().await;
+    tier.leafs.iter().for_each(|leaf| {
+        leaf.set_reaction(Reaction::Answer(vec![b'r'; 16], Duration::from_millis(400)));
+    });
+    let sending = tier.send(&[0], "/single/", "s", Duration::from_millis(1_500));
+    let cutting = async {
+        sleep(Duration::from_millis(500)).await;
+        tier.cut(0, State::Hang);
+    };
+    let outcomes = tokio::join!(sending, cutting).0;
+    let mut leafs: BTreeMap<String, BTreeSet<&str>> = BTreeMap::new();
+    for leaf in &tier.leafs {
+        for request in leaf.executed() {
+            let id = request.headers.get("x-request-id").cloned().unwrap_or_default();
+            leafs.entry(id).or_default().insert(leaf.id());
+        }
+    }
+    let exceeded: Vec<_> = leafs.iter().filter(|(_, leafs)| leafs.len() > 1).collect();
+    assert!(exceeded.is_empty(), "on several leafs: {exceeded:?}");
+    assert!(outcomes.iter().any(|(_, _, status)| *status == 200));
+}
+
 /// Guards against requests that wait for their deadline, or go round among instances, when the
 /// leafs themselves are gone; and against a fleet that turns all callers away.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/policy/src/attempts.rs
+++ b/crates/policy/src/attempts.rs
@@ -35,6 +35,18 @@
         Self { leafs_max: leafs_max.max(1) as usize, ..Self::default() }
     }
 
+    /// Records leafs that may have run the request before, sent by another instance.
+    pub fn with_failed(mut self, leafs: impl IntoIterator<Item = SmolStr>) -> Self {
+        self.failed.extend(leafs);
+        self.used.extend(self.failed.iter().cloned());
+        self
+    }
+
+    /// Returns whether a leaf failed and may have run the request.
+    pub fn has_failed(&self, leaf: &SmolStr) -> bool {
+        self.failed.contains(leaf)
+    }
+
     /// Records that the request is sent to a leaf.
     pub fn record_send(&mut self, leaf: &SmolStr) {
         self.sends += 1;
