Try leafs again at once after all of them were gone

Also: no list of peers is built for each request, limits in force are counted only when that changes, and a delegated success clears no suspect, as it may be partial.

--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -213,7 +213,7 @@
 
     /// Returns whether another instance is known.
     pub(crate) fn has_peers(&self) -> bool {
-        !self.peers.addresses().is_empty()
+        !self.peers.is_empty()
     }
 
     /// Returns whether all instances that answered lately say that they can't help either. Then no
@@ -292,6 +292,8 @@
             }
         });
         join_all(calls).await;
+        let known = self.peers.addresses();
+        self.lock().retain(|peer, helper| helper.outstanding > 0 || known.contains(peer));
     }
 
     /// Chooses the less loaded of two instances, of the nearest ones that may help.
@@ -324,8 +326,6 @@
         if status.is_none() {
             helper.client = Helper::new(peer).client;
         }
-        let known = self.peers.addresses();
-        helpers.retain(|peer, helper| helper.outstanding > 0 || known.contains(peer));
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Helper>> {
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -198,6 +198,11 @@
         if peers.is_empty() { self.seeds.clone() } else { peers.keys().copied().collect() }
     }
 
+    /// Returns whether no other instance is known.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
     /// Returns the other instances of this failure domain, then those of other failure domains of the
     /// region, then all others.
     pub(crate) fn by_distance(&self) -> [Vec<SocketAddr>; 3] {
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -213,7 +213,7 @@
         };
         guard.completed = true;
         // A partial answer says nothing about the leafs of the missing shards.
-        let is_complete = handled.coverage.0 == handled.coverage.1;
+        let is_complete = handled.coverage.0 == handled.coverage.1 && handled.reason != DELEGATED;
         if is_complete && handled.reply.status().is_success() {
             self.gateway.record_success(&self.outgoing);
         }
@@ -229,8 +229,8 @@
             if let Some(handled) = self.delegate(delegator).await {
                 return handled;
             }
-            // No instance reaches leafs. Open connections of this one may live on.
-            return match reachability.has_answers() {
+            // No instance helps. Leafs may just be back, or open connections to them live on.
+            return match reachability.may_reach() {
                 true => self.run_here().await,
                 false => self.refused(Refusal::NotRun, UNREACHABLE, (0, 0), 0),
             };
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -260,17 +260,21 @@
         if statement.is_expired(now) {
             return;
         }
+        let is_new = !state.limits.contains_key(&key);
         let limit =
             state.limits.entry(key).or_insert_with(|| Limit { statement, leaf: leaf.cloned() });
         limit.leaf = leaf.cloned().or_else(|| limit.leaf.take());
+        let was_limited = limit.statement.rate.is_some();
         if limit.statement.observed < statement.observed {
             limit.statement = statement;
         }
         if let Some(leaf) = &limit.leaf {
             apply(leaf, limit.statement, source, now);
         }
-        self.in_force.store(state.in_force(now), Ordering::Relaxed);
-        self.granted.notify_waiters();
+        if is_new || was_limited != limit.statement.rate.is_some() {
+            self.in_force.store(state.in_force(now), Ordering::Relaxed);
+            self.granted.notify_waiters();
+        }
     }
 
     /// Asks the owner for tokens if a request needs one.
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -85,8 +85,13 @@
         *self.cut_off.borrow()
     }
 
+    /// Returns whether a request may reach a leaf although this instance is cut off.
+    pub(crate) fn may_reach(&self) -> bool {
+        self.lock().may_reach(now())
+    }
+
     /// Returns whether a leaf has answered lately. While new connections fail, open ones may live on.
-    pub(crate) fn has_answers(&self) -> bool {
+    fn has_answers(&self) -> bool {
         self.lock().has_answers(now())
     }
 
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -3,8 +3,12 @@
 #![allow(dead_code, reason = "each test binary uses only some of the helpers")]
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use jaycrank_gateway::Options;
@@ -30,6 +34,18 @@
 
 pub const LOOPBACK_ANY_PORT: &str = "127.0.0.1:0";
 
+/// Returns an address with a free port on a loopback address of its own. The system gives its port to
+/// no connection of another test, as it would on the usual loopback address.
+pub fn free_address() -> SocketAddr {
+    static COUNT: AtomicU32 = AtomicU32::new(1);
+    let [_, high, low, _] = std::process::id().to_be_bytes();
+    let [.., count_high, count_low] = COUNT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let second = 128 + (low ^ high ^ count_high) % 64;
+    let process = std::process::id().to_be_bytes()[3];
+    let listener = TcpListener::bind((Ipv4Addr::new(127, second, process, count_low), 0));
+    listener.unwrap().local_addr().unwrap()
+}
+
 /// Polls `condition` until it holds.
 ///
 /// # Panics
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,6 +13,7 @@
 use common::config;
 use common::entry;
 use common::eventually;
+use common::free_address;
 use common::get;
 use common::options;
 use jaycrank_gateway::catalog::Entry;
@@ -63,8 +63,7 @@
                 leafs.push(leaf);
             }
         }
-        let port = || TcpListener::bind(common::LOOPBACK_ANY_PORT).unwrap().local_addr().unwrap();
-        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| port()).collect();
+        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| free_address()).collect();
         let mut tier = Self { instances: Vec::new(), links: Vec::new(), leafs, ready: Vec::new() };
         for index in 0..INSTANCES {
             let catalog = Arc::new(Catalog::new());
@@ -86,7 +85,7 @@
                 links.push(link);
             }
             let mut options = options(Some(peers[index]), peers.clone());
-            options.ready_listen = port();
+            options.ready_listen = free_address();
             options.instances = INSTANCES;
             options.failure_domain = format!("domain-{index}").into();
             let domains =
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +10,7 @@
 use common::config;
 use common::entry;
 use common::eventually;
+use common::free_address;
 use common::get;
 use common::options;
 use jaycrank_gateway::lifecycle::Instance;
@@ -60,8 +60,7 @@
             catalog.put_leaf(entry(&leaf, services[index % services.len()]));
             leafs.push(leaf);
         }
-        let port = || TcpListener::bind(common::LOOPBACK_ANY_PORT).unwrap().local_addr().unwrap();
-        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| port()).collect();
+        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| free_address()).collect();
         let mut tier = Self { instances: Vec::new(), peers, catalog, leafs };
         for index in 0..INSTANCES {
             let instance = tier.start_instance(index).await;
@@ -180,8 +179,7 @@
     assert!((1..=CRASHES_MAX).contains(&crashes), "{crashes} crashes");
     for index in 0..INSTANCES {
         tier.instances[index].take().unwrap().shutdown().await;
-        tier.peers[index] =
-            TcpListener::bind(common::LOOPBACK_ANY_PORT).unwrap().local_addr().unwrap();
+        tier.peers[index] = free_address();
         tier.instances[index] = Some(tier.start_instance(index).await);
         sleep(DISCOVERY_TIME * 2).await;
     }
--- a/crates/gateway/tests/rate_limit.rs
+++ b/crates/gateway/tests/rate_limit.rs
@@ -3,7 +3,6 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +11,7 @@
 use common::config;
 use common::entry;
 use common::eventually;
+use common::free_address;
 use common::get;
 use common::options;
 use jaycrank_gateway::lifecycle::Instance;
@@ -51,8 +51,7 @@
             catalog.put_leaf(entry(&leaf, "db"));
             servers.push(leaf);
         }
-        let port = || TcpListener::bind(common::LOOPBACK_ANY_PORT).unwrap().local_addr().unwrap();
-        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| port()).collect();
+        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| free_address()).collect();
         let mut tier = Self { instances: Vec::new(), peers, catalog, leafs: servers };
         for index in 0..INSTANCES {
             let instance = tier.start_instance(index).await;
--- a/crates/policy/src/reachability.rs
+++ b/crates/policy/src/reachability.rs
@@ -40,6 +40,8 @@
     probed_at: Option<Instant>,
     cut_off: bool,
     good_rounds: u32,
+    /// Whether the last round of probes reached a leaf.
+    reached_some: bool,
 }
 
 impl Reachability {
@@ -77,6 +79,7 @@
     /// Records how many of the probed leafs accepted a connection; returns a change of the state.
     pub fn record_probes(&mut self, reached: usize, probed: usize, now: Instant) -> Option<Change> {
         self.probed_at = Some(now);
+        self.reached_some = reached > 0;
         if !self.cut_off {
             self.connect_failures = 0;
             self.unanswered = 0;
@@ -96,6 +99,12 @@
         self.cut_off
     }
 
+    /// Returns whether a request may reach a leaf although the instance is cut off: a leaf has answered
+    /// lately or accepted a probe. It is worth a try if no other instance can help.
+    pub fn may_reach(&self, now: Instant) -> bool {
+        self.reached_some || self.has_answers(now)
+    }
+
     /// Returns whether a leaf has answered within a silence that raises a suspicion. While new
     /// connections fail, open ones may live on.
     pub fn has_answers(&self, now: Instant) -> bool {
--- a/crates/policy/tests/reachability.rs
+++ b/crates/policy/tests/reachability.rs
@@ -71,6 +71,7 @@
     assert_eq!(reachability.record_probes(0, 6, now), Some(Change::CutOff));
     for reached in [2, 3, 0, 6, 1] {
         assert_eq!(reachability.record_probes(reached, 6, now), None, "{reached} of 6");
+        assert_eq!(reachability.may_reach(now), reached > 0, "{reached} of 6");
     }
     assert_eq!(reachability.record_probes(4, 6, now), None);
     assert_eq!(reachability.record_probes(5, 6, now), Some(Change::Connected));
