--- a/crates/standin/src/link.rs
+++ b/crates/standin/src/link.rs
@@ -4,7 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -13,15 +15,26 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Connections that a listener accepts without an accept call while it hangs. The kernel adds one.
 const BACKLOG: u32 = 1;
 /// Connections that fill the backlog, so that further ones hang.
 const FILLING_CONNECTIONS: usize = 3;
 
+/// Interval at which a port is bound again and an ended target is tried.
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
+/// Time for which a connection to an ended target waits until new ones are refused.
+const REFUSAL_TIMEOUT: Duration = Duration::from_millis(50);
+/// Connections that may report the end of the target at a time.
+const ENDS_MAX: usize = 64;
+
 /// State of a link.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
@@ -85,7 +98,7 @@
         });
         match bound {
             Ok(listener) => return listener,
-            Err(_) => tokio::time::sleep(std::time::Duration::from_millis(5)).await,
+            Err(_) => sleep(RETRY_INTERVAL).await,
         }
     }
 }
@@ -97,6 +110,7 @@
     mut states: watch::Receiver<State>,
 ) {
     let connections = Arc::new(Mutex::new(JoinSet::new()));
+    let (ended, mut ends) = mpsc::channel(ENDS_MAX);
     let mut listener = Some(listener);
     loop {
         let state = *states.borrow_and_update();
@@ -107,10 +121,19 @@
                     None => bind(address).await,
                 };
                 tokio::select! {
-                    () = accept(&bound, target, states.clone(), &connections) => {}
+                    () = accept(&bound, target, states.clone(), &connections, &ended) => {}
                     changed = states.changed() => if changed.is_err() { return },
+                    Some(refuses) = ends.recv() => {
+                        drop(bound);
+                        // The connection may have given up waiting.
+                        let _ = refuses.send(());
+                        while TcpStream::connect(target).await.is_err() {
+                            sleep(RETRY_INTERVAL).await;
+                        }
+                        continue;
+                    }
                 }
-                continue;
+                listener = Some(bound);
             }
             State::Hang => {
                 listener = None;
@@ -142,25 +165,50 @@
     target: SocketAddr,
     states: watch::Receiver<State>,
     connections: &Mutex<JoinSet<()>>,
+    ended: &mpsc::Sender<oneshot::Sender<()>>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
-        lock(connections).spawn(serve(stream, target, states.clone()));
+        let ended = ended.clone();
+        let served = serve(stream, target, states.clone());
+        lock(connections).spawn(async move {
+            let client = served.await;
+            if TcpStream::connect(target).await.is_err() {
+                // The target has ended: new connections are refused before this one is closed, as
+                // without a link.
+                let (refuses, refused) = oneshot::channel();
+                let _ = ended.try_send(refuses);
+                let _ = timeout(REFUSAL_TIMEOUT, refused).await;
+            }
+            drop(client);
+        });
     }
 }
 
-async fn serve(client: TcpStream, target: SocketAddr, states: watch::Receiver<State>) {
-    let Ok(server) = TcpStream::connect(target).await else { return };
+/// Passes bytes until one side closes; returns the connection to the client.
+async fn serve(
+    client: TcpStream,
+    target: SocketAddr,
+    states: watch::Receiver<State>,
+) -> (OwnedReadHalf, OwnedWriteHalf) {
+    let Ok(server) = TcpStream::connect(target).await else { return client.into_split() };
     let (client_read, client_write) = client.into_split();
     let (server_read, server_write) = server.into_split();
+    let (mut client_read, mut client_write) = (client_read, client_write);
+    let (mut server_read, mut server_write) = (server_read, server_write);
     tokio::select! {
-        () = pass(client_read, server_write, states.clone()) => {}
-        () = pass(server_read, client_write, states) => {}
+        () = pass(&mut client_read, &mut server_write, states.clone()) => {}
+        () = pass(&mut server_read, &mut client_write, states) => {}
     }
+    (client_read, client_write)
 }
 
 /// Copies bytes. Those that arrive while the link hangs are kept until it is open again, as TCP
 /// repeats them.
-async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut states: watch::Receiver<State>) {
+async fn pass(
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+    mut states: watch::Receiver<State>,
+) {
     let mut buffer = vec![0; 16 << 10];
     loop {
         let Ok(length @ 1..) = from.read(&mut buffer).await else { return };
@@ -173,6 +221,6 @@
     }
 }
 
-fn lock(connections: &Mutex<JoinSet<()>>) -> std::sync::MutexGuard<'_, JoinSet<()>> {
+fn lock(connections: &Mutex<JoinSet<()>>) -> MutexGuard<'_, JoinSet<()>> {
     connections.lock().unwrap_or_else(PoisonError::into_inner)
 }
