Reduce the processor time of the checks of limits and cuts

Causes: the futures of delegation made that of each request larger, run_here was in it three times, and each attempt read the clock up to five times more and cloned names of leafs.

Change: rare paths are boxed, run_here is in the future once, an attempt shares one clock reading, the leafs of a request are kept by reference.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -136,8 +136,8 @@
 }
 
 impl Observation {
-    fn new(leaf: &Arc<Leaf>) -> Self {
-        let ticket = leaf.stats().start(now());
+    fn new(leaf: &Arc<Leaf>, now: std::time::Instant) -> Self {
+        let ticket = leaf.stats().start(now);
         Self { leaf: leaf.clone(), ticket: Some(ticket) }
     }
 
@@ -176,8 +176,6 @@
     pub permit: Permit,
     /// Rank of the request.
     pub rank: u8,
-    /// Service of the leaf.
-    pub service: SmolStr,
     /// Leafs that may run the request.
     pub sent: Arc<SentLeafs>,
     /// Whether this instance reaches leafs.
@@ -198,11 +196,12 @@
     outgoing: Arc<Outgoing>,
     context: Context,
 ) -> Completion {
-    let observation = Observation::new(&leaf);
+    let started = now();
+    let observation = Observation::new(&leaf, started);
     // A pooled connection may hold a late response to another request, or be closed by the leaf at
     // this moment, so a request that may run only once gets a new connection.
     let fresh = !context.idempotent;
-    context.reachability.record_send();
+    context.reachability.record_send(started);
     let mut lease = match acquire(&leaf, &context, fresh).await {
         Ok(lease) => lease,
         Err(error) => {
@@ -218,8 +217,8 @@
         leaf.pool().release_unused(lease);
         return (Outcome::Limited, None);
     }
-    let sent = now();
-    context.sent.insert(&context.service, leaf.with_entry(|entry| entry.id.clone()));
+    let sent = leaf.rate_limit().is_limited().then(now);
+    context.sent.insert(&leaf);
     let mut request = build_request(&leaf, &outgoing, &context);
     let response = loop {
         match lease.connection.sender.try_send_request(request).await {
@@ -275,9 +274,9 @@
     observation: Observation,
     lease: Lease,
     response: Response<Incoming>,
-    sent: std::time::Instant,
+    sent: Option<std::time::Instant>,
 ) -> Completion {
-    context.reachability.record_answer();
+    context.reachability.record_answer(now());
     let (head, body) = response.into_parts();
     let names = &context.names;
     let echoed = text(&head.headers, &names.request_id);
@@ -345,19 +344,19 @@
     leaf: &Arc<Leaf>,
     context: &Context,
     head: &response::Parts,
-    sent: std::time::Instant,
+    sent: Option<std::time::Instant>,
 ) {
     let mut values = head.headers.get_all(&context.names.rate_limit).iter();
     let Some(value) = values.next() else {
         // Another process may answer at the address of a leaf that has ended.
-        if leaf.rate_limit().is_limited() && head.status != StatusCode::MISDIRECTED_REQUEST {
-            context.rate_limits.record_answer(leaf, None, sent);
+        if let Some(sent) = sent.filter(|_| head.status != StatusCode::MISDIRECTED_REQUEST) {
+            context.rate_limits.record_end(leaf, sent);
         }
         return;
     };
     let rate = value.to_str().ok().and_then(rate_limit::parse);
     match rate.filter(|_| values.all(|other| other == value)) {
-        Some(rate) => context.rate_limits.record_answer(leaf, Some(rate), sent),
+        Some(rate) => context.rate_limits.record_limit(leaf, rate),
         None => event!(
             Event::LeafLimitInvalid,
             leaf = leaf.with_entry(|entry| entry.id.clone()),
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -5,7 +5,6 @@
 //! other instances reach the path, which is served by their listener.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -39,11 +38,11 @@
 use crate::attempt::Outgoing;
 use crate::call;
 use crate::call::Service;
-use crate::catalog::LeafId;
 use crate::config::Version;
 use crate::gateway::Gateway;
 use crate::peer::Peers;
 use crate::query;
+use crate::sent::LeafsByService;
 use crate::server::Phase;
 
 /// HTTP path at which other instances pass requests to this one.
@@ -84,7 +83,7 @@
     /// Version of the configuration at the sender; an older one must not be applied.
     pub(crate) version: Version,
     /// Leafs that the sender has sent the request to, by service.
-    pub(crate) sent: BTreeMap<SmolStr, BTreeSet<LeafId>>,
+    pub(crate) sent: LeafsByService,
 }
 
 impl Request {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -155,13 +155,14 @@
         answer: None,
         retry_after: Duration::ZERO,
     };
-    let sent_before = job.sent.of_service(&job.service);
+    let sent_before = job.sent.before(&job.service);
     let mut fetch = Fetch {
         gateway,
         job,
         in_flight: FuturesUnordered::new(),
-        resent: !sent_before.is_empty(),
-        attempts: Attempts::new(job.attempts_max).with_failed(sent_before.iter().cloned()),
+        resent: sent_before.is_some(),
+        attempts: Attempts::new(job.attempts_max)
+            .with_failed(sent_before.into_iter().flatten().cloned()),
         pending: Vec::new(),
         started: Instant::now(),
         suspected: false,
@@ -170,7 +171,7 @@
         limited: None,
         failure,
     };
-    if sent_before.is_empty() {
+    if sent_before.is_none() {
         gateway.quotas().deposit(&job.service);
     }
     fetch.run().await
@@ -223,7 +224,7 @@
                     self.failure.reason = Reason::TimedOut;
                     // Requests that still wait for a connection have not been sent.
                     self.failure.may_have_run |=
-                        !self.job.sent.of_service(&self.job.service).is_empty();
+                        self.job.sent.contains_service(&self.job.service);
                     self.failure.answer = None;
                     return Err(self.failure.clone());
                 }
@@ -232,7 +233,7 @@
     }
 
     /// Records an outcome without a usable answer and returns the name of its reason.
-    fn record_failure(&mut self, leaf: &Leaf, outcome: Outcome) -> &'static str {
+    fn record_failure(&mut self, leaf: &Arc<Leaf>, outcome: Outcome) -> &'static str {
         let (reason, detail, may_have_run) = match outcome {
             Outcome::Answered(answer) => {
                 let status = answer.status.as_str().into();
@@ -252,7 +253,7 @@
         self.failure.may_have_run |= may_have_run;
         let id = leaf.with_entry(|entry| entry.id.clone());
         if !may_have_run && !self.attempts.has_failed(&id) {
-            self.job.sent.remove(&self.job.service, &id);
+            self.job.sent.remove(leaf);
         }
         if may_have_run {
             self.attempts.record_failure(&id);
@@ -445,7 +446,6 @@
             idempotent: self.job.idempotent,
             permit,
             rank: self.job.rank,
-            service: self.job.service.clone(),
             sent: self.job.sent.clone(),
             reachability: self.gateway.reachability().clone(),
             rate_limits: self.gateway.rate_limits().clone(),
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -223,27 +223,34 @@
 
     /// Runs the request here, or at another instance while this one is cut off from all leafs.
     async fn serve(&self) -> Handled {
-        let Some(delegator) = self.delegator else { return self.run_here().await };
         let reachability = self.gateway.reachability();
-        if reachability.is_cut_off() {
-            if let Some(handled) = self.delegate(delegator).await {
-                return handled;
-            }
-            // No instance helps. Leafs may just be back, or open connections to them live on.
-            return match reachability.may_reach() {
-                true => self.run_here().await,
-                false => self.refused(Refusal::NotRun, UNREACHABLE, (0, 0), 0),
-            };
+        let is_cut_off = self.delegator.is_some() && reachability.is_cut_off();
+        // Futures of rare paths are boxed: they would make that of each request larger.
+        if is_cut_off && let Some(handled) = Box::pin(self.serve_cut_off()).await {
+            return handled;
         }
+        let may_interrupt = self.delegator.is_some() && self.route.idempotent && !is_cut_off;
         let handled = tokio::select! {
             biased;
             handled = self.run_here() => handled,
-            () = reachability.wait_for_silence(), if self.route.idempotent => self.cut_off(),
+            () = reachability.wait_for_silence(), if may_interrupt => self.cut_off(),
         };
-        if !self.may_run_elsewhere(&handled) || !reachability.verdict().await {
-            return handled;
+        match self.delegator {
+            Some(delegator) if self.may_run_elsewhere(&handled) && reachability.verdict().await => {
+                Box::pin(self.delegate(delegator)).await.unwrap_or(handled)
+            }
+            _ => handled,
+        }
+    }
+
+    /// Passes the request to another instance or refuses it; returns `None` if it is worth a try here,
+    /// because no instance helps and leafs are just back, or open connections to them live on.
+    async fn serve_cut_off(&self) -> Option<Handled> {
+        if let Some(handled) = self.delegate(self.delegator?).await {
+            return Some(handled);
         }
-        self.delegate(delegator).await.unwrap_or(handled)
+        let may_reach = self.gateway.reachability().may_reach();
+        (!may_reach).then(|| self.refused(Refusal::NotRun, UNREACHABLE, (0, 0), 0))
     }
 
     async fn run_here(&self) -> Handled {
@@ -283,7 +290,7 @@
             deadline_ms: delegation::millis_until(self.deadline),
             answer_in_ms: delegation::millis_until(self.answer_at),
             version: self.active.version(),
-            sent: self.sent.to_map(),
+            sent: self.sent.by_service(),
         };
         let (peer, reply) = match delegator.run(request, self.route.idempotent, self.deadline).await
         {
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -237,15 +237,20 @@
         self.in_force.load(Ordering::Relaxed) == 0
     }
 
-    /// Records what an answer of a leaf to a request sent at `sent` says about its limit. An answer
-    /// without a limit ends the last one unless the request is older than that.
-    pub(crate) fn record_answer(&self, leaf: &Arc<Leaf>, rate: Option<f64>, sent: Instant) {
+    /// Records the limit that an answer of a leaf states.
+    pub(crate) fn record_limit(&self, leaf: &Arc<Leaf>, rate: f64) {
+        let statement = Statement { rate: Some(rate), observed: now() };
+        self.observe(&mut self.lock(), leaf.key(), Some(leaf), statement, "answer");
+    }
+
+    /// Records that an answer of a leaf to a request sent at `sent` states no limit. That ends the last
+    /// one unless the request is older.
+    pub(crate) fn record_end(&self, leaf: &Arc<Leaf>, sent: Instant) {
         let known = leaf.rate_limit().lock().statement();
-        if rate.is_none() && known.is_none_or(|known| sent < known.observed) {
-            return;
+        if known.is_some_and(|known| sent >= known.observed) {
+            let statement = Statement { rate: None, observed: now() };
+            self.observe(&mut self.lock(), leaf.key(), Some(leaf), statement, "answer");
         }
-        let statement = Statement { rate, observed: now() };
-        self.observe(&mut self.lock(), leaf.key(), Some(leaf), statement, "answer");
     }
 
     fn observe(
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -62,22 +62,22 @@
 
 impl Reachability {
     /// Records a request to a leaf.
-    pub(crate) fn record_send(&self) {
+    pub(crate) fn record_send(&self, now: std::time::Instant) {
         let mut state = self.lock();
-        state.record_send(now());
-        self.check(&state);
+        state.record_send(now);
+        self.check(&state, now);
     }
 
     /// Records an answer of a leaf, whatever it says.
-    pub(crate) fn record_answer(&self) {
-        self.lock().record_answer(now());
+    pub(crate) fn record_answer(&self, now: std::time::Instant) {
+        self.lock().record_answer(now);
     }
 
     /// Records whether a new connection to a leaf could be opened.
     pub(crate) fn record_connect(&self, succeeded: bool) {
         let mut state = self.lock();
         state.record_connect(succeeded);
-        self.check(&state);
+        self.check(&state, now());
     }
 
     /// Returns whether this instance is cut off from all leafs.
@@ -121,8 +121,8 @@
         self.is_cut_off()
     }
 
-    fn check(&self, state: &jaycrank_policy::reachability::Reachability) {
-        if state.is_suspected(now()) && !self.probing.swap(true, Ordering::Relaxed) {
+    fn check(&self, state: &jaycrank_policy::reachability::Reachability, now: std::time::Instant) {
+        if state.is_suspected(now) && !self.probing.swap(true, Ordering::Relaxed) {
             self.suspected.notify_one();
         }
     }
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,50 +10,64 @@
 use smol_str::SmolStr;
 
 use crate::catalog::LeafId;
+use crate::leaf::Leaf;
 
-/// Leafs that may run a request or may have run it, by service. While there is none, the request has
-/// not run.
+/// Ids of leafs by service.
+pub type LeafsByService = BTreeMap<SmolStr, BTreeSet<LeafId>>;
+
+/// Leafs that may run a request or may have run it. While there is none, the request has not run.
 #[derive(Debug, Default)]
-pub struct SentLeafs(Mutex<BTreeMap<SmolStr, BTreeSet<LeafId>>>);
+pub struct SentLeafs {
+    /// Leafs that another instance has sent the request to.
+    before: LeafsByService,
+    /// Leafs that this instance has sent it to.
+    here: Mutex<Vec<Arc<Leaf>>>,
+}
 
 impl SentLeafs {
     /// Creates a record that starts with the leafs that another instance has sent the request to.
-    pub fn new(leafs: BTreeMap<SmolStr, BTreeSet<LeafId>>) -> Self {
-        Self(Mutex::new(leafs))
+    pub fn new(before: LeafsByService) -> Self {
+        Self { before, here: Mutex::default() }
     }
 
     /// Records that the request is being sent to a leaf.
-    pub(crate) fn insert(&self, service: &SmolStr, leaf: LeafId) {
-        self.lock().entry(service.clone()).or_default().insert(leaf);
+    pub(crate) fn insert(&self, leaf: &Arc<Leaf>) {
+        self.lock().push(leaf.clone());
     }
 
     /// Records that a leaf did not run the request.
-    pub(crate) fn remove(&self, service: &SmolStr, leaf: &LeafId) {
-        let mut leafs = self.lock();
-        if let Some(of_service) = leafs.get_mut(service) {
-            of_service.remove(leaf);
-            if of_service.is_empty() {
-                leafs.remove(service);
-            }
-        }
+    pub(crate) fn remove(&self, leaf: &Arc<Leaf>) {
+        self.lock().retain(|sent| !Arc::ptr_eq(sent, leaf));
     }
 
     /// Returns whether no leaf has run the request or will run it.
     pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
+        self.before.is_empty() && self.lock().is_empty()
     }
 
-    /// Returns the leafs of one service.
-    pub(crate) fn of_service(&self, service: &SmolStr) -> BTreeSet<LeafId> {
-        self.lock().get(service).cloned().unwrap_or_default()
+    /// Returns the leafs of a service that another instance has sent the request to.
+    pub(crate) fn before(&self, service: &SmolStr) -> Option<&BTreeSet<LeafId>> {
+        self.before.get(service)
     }
 
-    /// Returns a copy of the record.
-    pub(crate) fn to_map(&self) -> BTreeMap<SmolStr, BTreeSet<LeafId>> {
-        self.lock().clone()
+    /// Returns whether a leaf of a service may run the request or may have run it.
+    pub(crate) fn contains_service(&self, service: &SmolStr) -> bool {
+        let is_of_service = |leaf: &Arc<Leaf>| leaf.with_entry(|entry| entry.service == *service);
+        self.before.contains_key(service) || self.lock().iter().any(is_of_service)
+    }
+
+    /// Returns all leafs.
+    pub(crate) fn by_service(&self) -> LeafsByService {
+        let mut leafs = self.before.clone();
+        for leaf in self.lock().iter() {
+            leaf.with_entry(|entry| {
+                leafs.entry(entry.service.clone()).or_default().insert(entry.id.clone())
+            });
+        }
+        leafs
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeMap<SmolStr, BTreeSet<LeafId>>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Leaf>>> {
+        self.here.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
