--- a/crates/policy/tests/rate_limit.rs
+++ b/crates/policy/tests/rate_limit.rs
@@ -164,7 +164,7 @@
         if trouble == Trouble::Restarts && step % RESTART_STEPS == RESTART_STEPS - 1 {
             let index = step / RESTART_STEPS % count;
             fleet.instances[index] = Instance::default();
-            if step / RESTART_STEPS % 3 == 0 {
+            if (step / RESTART_STEPS).is_multiple_of(3) {
                 fleet.owner = Bucket::new(now);
             }
         }
