Let an instance without peers use the limits that leafs state

It now grants itself all tokens. The list of unreachable instances in a request for tokens was never used and is gone.

New test instance_without_peers_uses_the_limit_alone passes.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -131,6 +131,7 @@
         let mut catalog = catalog;
         let mut delegated_running = Arc::default();
         tasks.push(tokio::spawn(reachability::watch(gateway.clone())));
+        tasks.push(tokio::spawn(rate_limit::share(gateway.clone(), peers.clone())));
         if let (Some(peers), Some(delegator)) = (peers, delegator) {
             let listen = peers.own_address();
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
@@ -146,7 +147,6 @@
             server::listen(listen, Arc::new(dispatcher), phases).await?;
             tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(delegator.watch(gateway.clone())));
-            tasks.push(tokio::spawn(rate_limit::share(gateway.clone(), peers.clone())));
             tasks.push(tokio::spawn(peer::poll_peers(
                 gateway.clone(),
                 peers.clone(),
--- a/crates/gateway/src/rate_limit.rs
+++ b/crates/gateway/src/rate_limit.rs
@@ -6,6 +6,8 @@
 //! limits and show which peers are in contact. Instances without limits send nothing.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
@@ -80,6 +82,9 @@
 /// Time for which the outcome of a call shows whether a peer is in contact.
 const CONTACT_LIFETIME: Duration = Duration::from_millis(2_500);
 
+/// Stands for an instance that other instances can't reach.
+const NO_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Incarnation of a leaf: its id and the Unix millisecond of its start.
 type LeafKey = (LeafId, u64);
 
@@ -96,8 +101,6 @@
 struct Ask {
     leaf: LeafKey,
     wanted: u32,
-    /// Instances before the asked one in the order of ownership that the sender does not reach.
-    unreachable: Vec<SocketAddr>,
 }
 
 /// Message from one instance to another.
@@ -403,8 +406,7 @@
             if wanted > 0
                 && let Some(owner) = state.owner(&leaf, now)
             {
-                let unreachable = state.unreachable_before(&leaf, owner);
-                asks.entry(owner).or_default().push(Ask { leaf, wanted, unreachable });
+                asks.entry(owner).or_default().push(Ask { leaf, wanted });
             }
         }
         asks
@@ -505,10 +507,6 @@
         ranking.into_iter().find(|instance| !self.has_failed(*instance, now))
     }
 
-    fn unreachable_before(&mut self, key: &LeafKey, owner: SocketAddr) -> Vec<SocketAddr> {
-        self.ranking(key).iter().copied().take_while(|instance| *instance != owner).collect()
-    }
-
     /// Puts an instance first in the order of ownership of a leaf.
     fn prefer(&mut self, key: &LeafKey, owner: SocketAddr) {
         self.ranking(key);
@@ -597,8 +595,10 @@
     }
 }
 
-/// Asks for tokens and makes regular exchanges until it is aborted.
-pub(crate) async fn share(gateway: Arc<Gateway>, peers: Arc<Peers>) {
+/// Asks for tokens and makes regular exchanges until it is aborted. An instance without `peers` grants
+/// itself the tokens of all leafs.
+pub(crate) async fn share(gateway: Arc<Gateway>, peers: Option<Arc<Peers>>) {
+    let own = peers.as_ref().map_or(NO_ADDRESS, |peers| peers.own_address());
     let limits = gateway.rate_limits();
     let mut clients: BTreeMap<SocketAddr, Arc<Client>> = BTreeMap::new();
     let mut rounds: u32 = 0;
@@ -609,12 +609,12 @@
             () = limits.demand.notified() => {}
             () = sleep_until(due.into()) => {}
         }
-        let known = peers.addresses();
-        limits.set_instances(known.clone(), peers.own_address());
+        let known = peers.as_ref().map(|peers| peers.addresses()).unwrap_or_default();
+        limits.set_instances(known.clone(), own);
         clients.retain(|address, _| known.contains(address));
         let mut send = |peer: SocketAddr, asks: Vec<Ask>| {
             let client = clients.entry(peer).or_insert_with(|| Arc::new(call::client(peer)));
-            tokio::spawn(exchange(gateway.clone(), client.clone(), peers.own_address(), asks));
+            tokio::spawn(exchange(gateway.clone(), client.clone(), own, asks));
         };
         if now() >= next_exchange {
             limits.sweep();
@@ -626,7 +626,7 @@
             rounds = rounds.saturating_add(1);
         }
         for (owner, asks) in limits.asks() {
-            if owner == peers.own_address() {
+            if owner == own {
                 let decisions: Vec<_> = {
                     let mut state = limits.lock();
                     asks.iter().map(|ask| state.decide(ask, now())).collect()
--- a/crates/gateway/tests/rate_limit.rs
+++ b/crates/gateway/tests/rate_limit.rs
@@ -144,6 +144,24 @@
     assert_eq!(answered + refused, statuses.len(), "the others were not run");
 }
 
+/// Guards against an instance without peers, which no other one grants tokens.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn instance_without_peers_uses_the_limit_alone() {
+    let leaf = Server::start("leaf-0").await.unwrap();
+    leaf.set_rate_limit(Some("10"));
+    let (instance, _) = common::start(config(1, "db", &["db"]), &[(&leaf, "db")]).await;
+    let mut answered = 0;
+    for count in 0..150 {
+        let response = call(instance.address(), &get("/read/", &format!("r{count}"))).await;
+        answered += usize::from(response.status == 200);
+        sleep(Duration::from_millis(20)).await;
+    }
+    let requests = leaf.executed();
+    let (first, last) = (requests[0].received_at, requests[requests.len() - 1].received_at);
+    let rate = answered as f64 / last.duration_since(first).as_secs_f64();
+    assert!((0.7 * RATE..1.5 * RATE).contains(&rate), "{rate:.1} a second");
+}
+
 /// Guards against instances that forget a limit when they are replaced one after the other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn limit_holds_while_instances_are_replaced() {
