--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,7 +1,7 @@
 //! Calls between instances: a listener that dispatches them by path, and the client side.
 //!
 //! Messages are encoded in MessagePack. Each module that talks to other instances registers a
-//! [`Service`] for its path.
+//! `Service` for its path.
 
 use std::collections::BTreeMap;
 use std::fmt;
