Split limits, their owners and their exchange into three modules

rate_limit had 690 lines and three subjects: the limits and tokens of leafs, which instance owns them, and the messages between instances. token_owner decides who owns a leaf and grants, token_exchange has the messages and the task, rate_limit the rest; the modules import each other in one direction. The quarantine and the limits each had a responder of the same form; call::Answerer serves both.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -26,6 +26,7 @@
 use tokio::time::timeout;
 
 use crate::answer::Reply;
+use crate::gateway::Gateway;
 use crate::server::Handler;
 use crate::server::Origin;
 
@@ -80,6 +81,26 @@
     async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, Error>;
 }
 
+/// Service that answers each message at once, from the state of a gateway.
+pub(crate) struct Answerer<M, R> {
+    gateway: Arc<Gateway>,
+    answer: fn(&Gateway, M) -> R,
+}
+
+impl<M, R> Answerer<M, R> {
+    /// Creates a service that answers with what `answer` returns.
+    pub(crate) fn new(gateway: Arc<Gateway>, answer: fn(&Gateway, M) -> R) -> Self {
+        Self { gateway, answer }
+    }
+}
+
+#[async_trait]
+impl<M: DeserializeOwned, R: Serialize> Service for Answerer<M, R> {
+    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, Error> {
+        encode(&(self.answer)(&self.gateway, decode(message)?))
+    }
+}
+
 /// Handler of the listener for other instances.
 #[derive(Default)]
 pub(crate) struct Dispatcher {
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -21,6 +21,9 @@
 use crate::pool::Pool;
 use crate::rate_limit::LeafLimit;
 
+/// Incarnation of a leaf: its id and the Unix millisecond of its start.
+pub(crate) type LeafKey = (LeafId, u64);
+
 /// One incarnation of a leaf.
 #[derive(Debug)]
 pub struct Leaf {
@@ -124,8 +127,8 @@
         &self.rate_limit
     }
 
-    /// Returns id and start of the leaf, which identify its incarnation.
-    pub(crate) fn key(&self) -> (LeafId, u64) {
+    /// Returns the incarnation of the leaf.
+    pub(crate) fn key(&self) -> LeafKey {
         self.with_entry(|entry| (entry.id.clone(), entry.started_ms))
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -50,6 +50,8 @@
 pub mod run;
 pub mod sent;
 pub mod server;
+pub mod token_exchange;
+pub mod token_owner;
 
 pub use crate::catalog::Catalog;
 pub use crate::gateway::Gateway;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -25,6 +25,7 @@
 use crate::admin::Readiness;
 use crate::admin::is_unready;
 use crate::answer::Reply;
+use crate::call::Answerer;
 use crate::call::Dispatcher;
 use crate::catalog::Catalog;
 use crate::config::Limits;
@@ -39,7 +40,6 @@
 use crate::peer::Responder;
 use crate::quarantine;
 use crate::query;
-use crate::rate_limit;
 use crate::reachability;
 use crate::relay::Relay;
 use crate::server;
@@ -47,6 +47,7 @@
 use crate::server::Handler;
 use crate::server::Origin;
 use crate::server::Phase;
+use crate::token_exchange;
 
 /// Time after which the load balancer sends no new connections: it probes each second and removes
 /// an instance at the second failed probe.
@@ -131,18 +132,18 @@
         let mut catalog = catalog;
         let mut delegated_running = Arc::default();
         tasks.push(tokio::spawn(reachability::watch(gateway.clone())));
-        tasks.push(tokio::spawn(rate_limit::share(gateway.clone(), peers.clone())));
+        tasks.push(tokio::spawn(token_exchange::share(gateway.clone(), peers.clone())));
         if let (Some(peers), Some(delegator)) = (peers, delegator) {
             let listen = peers.own_address();
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
-            let suspects = quarantine::Responder::new(gateway.clone());
-            let limits = rate_limit::Responder::new(gateway.clone());
+            let suspects = Answerer::new(gateway.clone(), quarantine::respond);
+            let limits = Answerer::new(gateway.clone(), token_exchange::respond);
             let delegated = delegation::Responder::new(gateway.clone(), phases.clone());
             delegated_running = delegated.running();
             let dispatcher = Dispatcher::default()
                 .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
                 .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects))
-                .with_service(rate_limit::LIMIT_PATH, Arc::new(limits))
+                .with_service(token_exchange::LIMIT_PATH, Arc::new(limits))
                 .with_service(delegation::DELEGATION_PATH, Arc::new(delegated));
             server::listen(listen, Arc::new(dispatcher), phases).await?;
             tasks.push(tokio::spawn(quarantine::share(gateway.clone(), peers.clone())));
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -11,7 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use async_trait::async_trait;
 use jaycrank_http::Client;
 use jaycrank_policy::quarantine::Observations;
 use rand::seq::IteratorRandom;
@@ -23,7 +22,6 @@
 use tokio::time::sleep;
 
 use crate::call;
-use crate::call::Service;
 use crate::gateway::Gateway;
 use crate::peer::Peers;
 
@@ -61,25 +59,8 @@
     pub observations: Observations,
 }
 
-/// Answers the exchanges of other instances.
-pub(crate) struct Responder(Arc<Gateway>);
-
-impl Responder {
-    /// Creates a responder that merges into the quarantine of `gateway`.
-    pub(crate) fn new(gateway: Arc<Gateway>) -> Self {
-        Self(gateway)
-    }
-}
-
-#[async_trait]
-impl Service for Responder {
-    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
-        call::encode(&respond(&self.0, call::decode(message)?))
-    }
-}
-
 /// Merges what a peer sent and returns what it lacks.
-fn respond(gateway: &Gateway, exchange: Exchange) -> Exchange {
+pub(crate) fn respond(gateway: &Gateway, exchange: Exchange) -> Exchange {
     let now = Instant::now().into_std();
     let quarantine = gateway.quarantine();
     quarantine.merge(exchange.observations, now);
--- a/crates/policy/src/rate_limit.rs
+++ b/crates/policy/src/rate_limit.rs
@@ -83,6 +83,11 @@
     pub next: Duration,
 }
 
+impl Grant {
+    /// No token; the owner may be asked again at once.
+    pub const NONE: Self = Self { tokens: 0, next: Duration::ZERO };
+}
+
 impl Bucket {
     /// Creates an empty bucket. An instance that becomes the owner does not know what the previous
     /// owner has granted.
