--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod fetch;
 pub mod follow;
 pub mod gateway;
+pub mod gather;
 pub mod header;
 pub mod leaf;
 pub mod lifecycle;
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -36,8 +36,12 @@
 use crate::fetch::Reason;
 use crate::fetch::fetch;
 use crate::gateway::Gateway;
+use crate::gather::Failures;
+use crate::gather::Unanswered;
+use crate::gather::leave_out;
+use crate::gather::missing_services;
+use crate::gather::signed_part;
 use crate::quarantine::SUSPECT_WAIT_MAX;
-use crate::rate_limit;
 use crate::request;
 use crate::sent::SentLeafs;
 use crate::server::Origin;
@@ -411,18 +415,13 @@
         isolated: bool,
     ) -> Handled {
         let total = services.len();
-        let (exhausted, retry_after) = self.exhausted(services);
-        if !timing::meets_coverage(total - exhausted.len(), total, coverage_min) {
-            let handled = self.not_run(Reason::Limited, retry_after, (0, total), 0);
-            return handled.with_missing(missing_services(services, &[]));
-        }
-        let mut left_out = self.gateway.throttles().leave_out(services, coverage_min);
-        left_out.extend(&exhausted);
-        left_out.sort_unstable();
-        left_out.dedup();
-        if !timing::meets_coverage(total - left_out.len(), total, coverage_min) {
-            left_out = exhausted;
-        }
+        let left_out = match leave_out(self.gateway, services, coverage_min, self.answer_at) {
+            Ok(left_out) => left_out,
+            Err(retry_after) => {
+                let handled = self.not_run(Reason::Limited, retry_after, (0, total), 0);
+                return handled.with_missing(missing_services(services, &[]));
+            }
+        };
         let queried = services.iter().enumerate().filter(|(index, _)| !left_out.contains(index));
         let jobs: Vec<Job> = queried.map(|(_, service)| self.job(service, isolated)).collect();
         let mut unanswered = Unanswered::new(self.gateway, &jobs);
@@ -471,8 +470,7 @@
                     }
                     Err(failure) => {
                         unanswered.ignore_failed(index);
-                        failures.add(failure.reason, failure.may_have_run);
-                        failures.retry_after = failures.retry_after.max(failure.retry_after);
+                        failures.add_failure(&failure);
                     }
                 },
                 () = sleep_until(self.answer_at), if !late => late = true,
@@ -484,12 +482,12 @@
         unanswered.record_misses(late);
         let covered = parts.len();
         if !timing::meets_coverage(covered, total, coverage_min) {
-            let ran = covered > 0 || failures.may_have_run || !self.sent.is_empty();
+            let ran = covered > 0 || failures.may_have_run() || !self.sent.is_empty();
             let reason = failures.reason();
             let handled = if ran {
                 self.refused(refusal_after_run(reason), reason.into(), (covered, total), sends)
             } else {
-                self.not_run(reason, failures.retry_after, (covered, total), sends)
+                self.not_run(reason, failures.retry_after(), (covered, total), sends)
             };
             return handled.with_missing(missing_services(services, &answered_services));
         }
@@ -508,31 +506,6 @@
             .with_missing(missing_services(services, &answered_services))
     }
 
-    /// Returns the positions of the services whose leafs take no request soon by the limits that they
-    /// state, and the time until one of them does.
-    fn exhausted(&self, services: &[SmolStr]) -> (Vec<usize>, Duration) {
-        if self.gateway.rate_limits().is_empty() {
-            return (Vec::new(), Duration::ZERO);
-        }
-        let time_left = self.answer_at.saturating_duration_since(Instant::now());
-        let wait_max = rate_limit::TOKEN_WAIT_MAX.min(time_left);
-        let waits: Vec<(usize, Duration)> = services
-            .iter()
-            .enumerate()
-            .filter_map(|(index, service)| Some((index, self.token_wait(service)?)))
-            .filter(|(_, wait)| *wait > wait_max)
-            .collect();
-        let next = waits.iter().map(|(_, wait)| *wait).min().unwrap_or_default();
-        (waits.into_iter().map(|(index, _)| index).collect(), next)
-    }
-
-    /// Returns the time until a leaf of a service may take a request by the limits that they state;
-    /// `None` if there is no leaf.
-    fn token_wait(&self, service: &SmolStr) -> Option<Duration> {
-        let leafs = self.gateway.directory().usable(service, Instant::now().into_std());
-        leafs.iter().map(|leaf| leaf.rate_limit().wait()).min()
-    }
-
     fn job(&self, service: &SmolStr, isolated: bool) -> Job {
         Job {
             service: service.clone(),
@@ -618,75 +591,7 @@
     }
 }
 
-/// Returns the names of the services whose part is missing, separated by commas. A part that can't
-/// be merged is missing too.
-fn missing_services(services: &[SmolStr], answered: &[&SmolStr]) -> String {
-    let missing = services.iter().filter(|service| !answered.contains(service));
-    missing.map(SmolStr::as_str).collect::<Vec<_>>().join(",")
-}
-
-/// Returns an answer with its signature, or `None` if it must not be merged: it is unsigned or not
-/// a success.
-fn signed_part(answer: Answer) -> Option<(Answer, HeaderValue)> {
-    let signature = answer.signature.clone()?;
-    answer.status.is_success().then_some((answer, signature))
-}
-
 /// Returns the refusal of a request that a leaf may have run.
 fn refusal_after_run(reason: Reason) -> Refusal {
     if reason == Reason::TimedOut { Refusal::TimedOut } else { Refusal::Lost }
 }
-
-/// Shards that have not answered yet. Records for each shard whether it answered in time, by which
-/// later queries decide whether to leave it out.
-struct Unanswered<'a> {
-    gateway: &'a Gateway,
-    services: Vec<Option<&'a SmolStr>>,
-}
-
-impl<'a> Unanswered<'a> {
-    fn new(gateway: &'a Gateway, jobs: &'a [Job]) -> Self {
-        Self { gateway, services: jobs.iter().map(|job| Some(&job.service)).collect() }
-    }
-
-    fn record_answer(&mut self, index: usize, in_time: bool) {
-        if let Some(service) = self.services[index].take() {
-            self.gateway.throttles().record(service, in_time);
-        }
-    }
-
-    /// Drops a failed shard without a record. A shard that rejects or fails requests bounds its
-    /// queue itself, so sending to it again costs the other shards little.
-    fn ignore_failed(&mut self, index: usize) {
-        self.services[index] = None;
-    }
-
-    /// Records a miss for each shard without an answer, unless the query ended before its target
-    /// time: then the shard was not late.
-    fn record_misses(&mut self, late: bool) {
-        for service in self.services.iter_mut().filter_map(Option::take).filter(|_| late) {
-            self.gateway.throttles().record(service, false);
-        }
-    }
-}
-
-/// Failures of shards, summarized for the refusal.
-#[derive(Debug, Default)]
-struct Failures {
-    /// Reason that takes precedence so far.
-    reason: Option<Reason>,
-    may_have_run: bool,
-    /// Longest time until a leaf of a shard may take a request by the limit that it states.
-    retry_after: Duration,
-}
-
-impl Failures {
-    fn add(&mut self, reason: Reason, may_have_run: bool) {
-        self.reason = self.reason.max(Some(reason));
-        self.may_have_run |= may_have_run;
-    }
-
-    fn reason(&self) -> Reason {
-        self.reason.unwrap_or(Reason::TimedOut)
-    }
-}
