Decode the headers of delegated requests and answers in one place

A request and an answer each had a loop of their own for the same list of headers, and the instances that are asked for their state were drained and sampled by hand.

--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -89,15 +89,10 @@
 impl Request {
     /// Returns the request to forward, or `None` if a part is not valid.
     pub(crate) fn outgoing(&self) -> Option<Outgoing> {
-        let mut headers = HeaderMap::with_capacity(self.headers.len());
-        for (name, value) in &self.headers {
-            let name: HeaderName = name.parse().ok()?;
-            headers.append(name, HeaderValue::from_bytes(value).ok()?);
-        }
         Some(Outgoing {
             method: self.method.parse().ok()?,
             uri: self.uri.parse().ok()?,
-            headers,
+            headers: decode_headers(&self.headers)?,
             body: self.body.clone(),
             id: self.id.clone(),
             caller: self.caller,
@@ -246,7 +241,7 @@
             match call::call(&client, DELEGATION_PATH, &message, time).await {
                 Ok(Answer::Answered { status, headers, body, load }) => {
                     self.record(peer, Some(Status { helps: true, load }));
-                    return match reply(status, headers, body) {
+                    return match reply(status, &headers, body) {
                         Some(reply) => Outcome::Answered(peer, reply),
                         None => Outcome::Lost,
                     };
@@ -276,12 +271,10 @@
     }
 
     async fn ask_for_status(&self) {
-        let asked = self.peers.by_distance().into_iter().flat_map(|mut peers| {
-            let count = peers.len().min(STATUS_PEERS);
-            peers.drain(..).sample(&mut rand::rng(), count)
-        });
-        let asked: Vec<SocketAddr> = asked.take(STATUS_PEERS).collect();
-        let calls = asked.into_iter().map(|peer| async move {
+        let sample =
+            |peers: Vec<SocketAddr>| peers.into_iter().sample(&mut rand::rng(), STATUS_PEERS);
+        let nearest_first = self.peers.by_distance().into_iter().flat_map(sample);
+        let calls = nearest_first.take(STATUS_PEERS).map(|peer| async move {
             let client = self.client(peer);
             let answer =
                 call::call(&client, DELEGATION_PATH, &Message::Status, STATUS_TIMEOUT).await;
@@ -340,13 +333,20 @@
     encoded.collect()
 }
 
-fn reply(status: u16, headers: Vec<(SmolStr, Bytes)>, body: Bytes) -> Option<Reply> {
-    let mut reply = Response::new(Full::new(body));
-    *reply.status_mut() = StatusCode::from_u16(status).ok()?;
-    for (name, value) in headers {
+/// Returns headers that another instance sent, or `None` if one is not valid.
+fn decode_headers(encoded: &[(SmolStr, Bytes)]) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::with_capacity(encoded.len());
+    for (name, value) in encoded {
         let name: HeaderName = name.parse().ok()?;
-        reply.headers_mut().append(name, HeaderValue::from_bytes(&value).ok()?);
+        headers.append(name, HeaderValue::from_bytes(value).ok()?);
     }
+    Some(headers)
+}
+
+fn reply(status: u16, headers: &[(SmolStr, Bytes)], body: Bytes) -> Option<Reply> {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = StatusCode::from_u16(status).ok()?;
+    *reply.headers_mut() = decode_headers(headers)?;
     Some(reply)
 }
 
