Log the caller, the target and the body of requests in flight at a crash

The target and the body are logged as hashes, so that no content of a caller's request enters the logs. No logic is changed.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -86,6 +86,17 @@
         self.uri.path_and_query().map_or("/", PathAndQuery::as_str)
     }
 
+    /// Returns a hash of the host, the method and the target, to compare requests in logs.
+    pub(crate) fn target_hash(&self) -> Fingerprint {
+        let method = self.method.as_str().as_bytes();
+        quarantine::fingerprint_of(&[self.host(), method, self.target().as_bytes()])
+    }
+
+    /// Returns a hash of the body, to compare requests in logs.
+    pub(crate) fn body_hash(&self) -> Fingerprint {
+        quarantine::fingerprint_of(&[&self.body])
+    }
+
     /// Returns the hash by which the same request of the same caller is known again, whatever its
     /// id.
     pub fn fingerprint(&self) -> Fingerprint {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -290,6 +290,9 @@
             service = self.job.service,
             leaf = id,
             fingerprint = format_smolstr!("{fingerprint:016x}"),
+            caller = self.job.outgoing.caller,
+            target = format_smolstr!("{:016x}", self.job.outgoing.target_hash()),
+            body = format_smolstr!("{:016x}", self.job.outgoing.body_hash()),
             isolated = isolated,
             suspected = suspected
         );
