Reproduce a request that is not known again when another caller sends it

A request that crashes leafs, sent 200 times by 48 callers with the host in two cases and the body with a length or in chunks, ends 177 leafs of a stand-in tier; three may end.

--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -26,6 +26,7 @@
 pub use jaycrank_standin::raw::Response;
 pub use jaycrank_standin::raw::exchange;
 use smol_str::SmolStr;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
@@ -150,6 +151,14 @@
     exchange(&mut stream, request).await.expect("a response")
 }
 
+/// Sends a request as [`call`] does, from the address `caller`.
+pub async fn call_from(caller: Ipv4Addr, address: SocketAddr, request: &str) -> Response {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind((caller, 0).into()).unwrap();
+    let mut stream = socket.connect(address).await.unwrap();
+    exchange(&mut stream, request).await.expect("a response")
+}
+
 /// Returns a GET request with an id and a deadline of 3 s.
 pub fn get(path: &str, id: &str) -> String {
     format!(
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -2,11 +2,13 @@
 
 mod common;
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use common::call;
+use common::call_from;
 use common::config;
 use common::entry;
 use common::eventually;
@@ -137,6 +139,33 @@
     }
 }
 
+/// Guards against a request that is taken for a new one because another caller sends it, the host is
+/// written in another case or the body comes in chunks: it ended a leaf or more each time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_crashes_leafs_is_known_from_any_caller_and_in_any_form() {
+    for path in ["/read/poison", "/write/poison"] {
+        let tier = Tier::start(&["db"], Manner::Close).await;
+        let head = |host: &str, id: usize| {
+            format!("POST {path} HTTP/1.1\r\nhost: {host}\r\nx-request-id: {id}\r\n")
+        };
+        for index in 0..SENDS {
+            let request = match index % 3 {
+                0 => head("db.example", index) + "content-length: 4\r\n\r\nbody",
+                1 => head("DB.Example", index) + "content-length: 4\r\n\r\nbody",
+                _ => {
+                    head("db.example", index)
+                        + "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+                }
+            };
+            let caller = Ipv4Addr::new(127, 0, 1, 1 + (index % 48) as u8);
+            call_from(caller, tier.address(index % INSTANCES), &request).await;
+            sleep(Duration::from_millis(5)).await;
+        }
+        let crashes = tier.crashes();
+        assert!((1..=CRASHES_MAX).contains(&crashes), "{path}: {crashes} crashes");
+    }
+}
+
 /// Guards against instances that get the request at the same moment and each crash a second leaf
 /// before they hear of each other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
