Know a request that crashes leafs again whoever sends it

Callers saw 502 for a request that ended leaf after leaf, 19 and 23 in the users' record, although the quarantine refuses a request after at most three. The fingerprint contained the caller's address, and the request came from addresses of all regions: the record has 24 fingerprints for 19 leafs, and two that repeat, as many as 144 addresses drawn at random give. The address never reaches a leaf, so it can't be the cause of a crash. The fingerprint now hashes what the leaf runs: host (in lower case), method, path, query and body. The table of recent successes uses the same identity.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -70,10 +70,11 @@
     pub caller: IpAddr,
 }
 
-/// Hashes what identifies a request: the same request of the same caller has another id each time.
+/// Hashes what identifies a request at the leafs that run it. They do not see the caller's address,
+/// and the id differs each time that the request is sent.
 impl Hash for Outgoing {
     fn hash<H: Hasher>(&self, state: &mut H) {
-        (self.caller, self.host(), &self.method, self.target(), &self.body).hash(state);
+        (self.host().to_ascii_lowercase(), &self.method, self.target(), &self.body).hash(state);
     }
 }
 
@@ -88,8 +89,9 @@
 
     /// Returns a hash of the host, the method and the target, to compare requests in logs.
     pub(crate) fn target_hash(&self) -> Fingerprint {
+        let host = self.host().to_ascii_lowercase();
         let method = self.method.as_str().as_bytes();
-        quarantine::fingerprint_of(&[self.host(), method, self.target().as_bytes()])
+        quarantine::fingerprint_of(&[&host, method, self.target().as_bytes()])
     }
 
     /// Returns a hash of the body, to compare requests in logs.
@@ -97,12 +99,13 @@
         quarantine::fingerprint_of(&[&self.body])
     }
 
-    /// Returns the hash by which the same request of the same caller is known again, whatever its
-    /// id.
+    /// Returns the hash by which the same request is known again, whoever sends it: a hash of what
+    /// its leafs run. A caller may come from any address, so the address would hide that it is the
+    /// same one.
     pub fn fingerprint(&self) -> Fingerprint {
+        let host = self.host().to_ascii_lowercase();
         quarantine::fingerprint_of(&[
-            self.caller.to_string().as_bytes(),
-            self.host(),
+            &host,
             self.method.as_str().as_bytes(),
             self.target().as_bytes(),
             &self.body,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -313,7 +313,7 @@
         }
     }
 
-    /// Returns whether the same request of the same caller succeeded within the last second.
+    /// Returns whether the same request of any caller succeeded within the last second.
     pub fn has_just_succeeded(&self, request: &Outgoing) -> bool {
         self.successes.contains(self.successes.key(request), Instant::now().into_std())
     }
