Report suspects to the seeds too while the list of instances is not complete

Six instances of one failure domain, started together, know one to five of the others after 3 s, since a poll may wait 10 s for changes; an instance that knew one other reported a request that crashes leafs to that one only, and a fourth leaf ended. Reports and exchanges now go to the known instances and the seeds.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -198,6 +198,14 @@
         if peers.is_empty() { self.seeds.clone() } else { peers.keys().copied().collect() }
     }
 
+    /// Returns the addresses of all other instances that are known, and the seeds. The list of a fleet
+    /// that has just started is complete only after several exchanges.
+    pub(crate) fn addresses_and_seeds(&self) -> Vec<SocketAddr> {
+        let peers = self.lock();
+        let unknown = self.seeds.iter().filter(|seed| !peers.contains_key(seed));
+        peers.keys().chain(unknown).copied().collect()
+    }
+
     /// Returns whether no other instance is known.
     pub(crate) fn is_empty(&self) -> bool {
         self.lock().is_empty()
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -86,9 +86,10 @@
             () = changed.notified() => true,
             () = sleep(interval.mul_f64(rand::random_range(INTERVAL_JITTER))) => false,
         };
-        let known = peers.addresses();
-        let names = known.iter().chain([&peers.own_address()]).map(name).collect::<Vec<_>>();
+        let own = peers.own_address();
+        let names = peers.addresses().iter().chain([&own]).map(name).collect::<Vec<_>>();
         gateway.quarantine().set_ready_instances(&names);
+        let known = peers.addresses_and_seeds();
         clients.retain(|address, _| known.contains(address));
         let count = match (is_report, is_initial || !gateway.quarantine().is_empty()) {
             (true, _) => REPORT_PEERS_MAX,
