Recognize a leaf that ended though it listens again at once

Only a refused probe after a broken connection made a request a suspect. Where a supervisor holds the listener, or the process is back before the probe, the end of a leaf looked like any broken connection: one request sent 200 times ended 798 leafs of a stand-in tier. Now the other connections to the leaf tell: a process that ends takes all with it (gateway::witness), and one that is still open shows that it runs. Without any other connection the request is sent again at once as before, and becomes a suspect when it is lost at a second leaf of the service; one that may run only once becomes one at its first loss, at most one a second, since it is not sent again anyway (policy::losses). A success without a signature, which ends with its connection, is examined in the same way.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -45,6 +45,7 @@
 use crate::reachability::Reachability;
 use crate::round_trip::Estimator;
 use crate::sent::SentLeafs;
+use crate::witness::Verdict;
 
 /// Largest answer of a leaf, in bytes.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
@@ -139,7 +140,9 @@
     NotSent(SmolStr),
     /// The request was sent without a usable answer; it may have run.
     Lost(SmolStr),
-    /// The connection broke with the request in flight, and the leaf accepts no new one.
+    /// The connection broke with the request in flight, and nothing shows whether the leaf ended.
+    Broken(SmolStr),
+    /// The connection broke with the request in flight because the leaf's process ended.
     Crashed(SmolStr),
 }
 
@@ -261,9 +264,8 @@
                     if lease.connect_time.is_some() {
                         leaf.pool().record_reset();
                     }
-                    leaf.pool().close_opened_until(lease.opened());
                     let detail = format_smolstr!("{}", failure.error());
-                    return (lost_or_crashed(&leaf, detail).await, None);
+                    return (broken_or_crashed(&leaf, lease, detail).await, None);
                 }
             },
         }
@@ -307,12 +309,17 @@
         }
         Err(BodyError::Incomplete(error)) => {
             observation.fail();
-            drop(lease);
             let detail = format_smolstr!("response body incomplete: {error}");
-            return (lost_or_crashed(leaf, detail).await, None);
+            return (broken_or_crashed(leaf, lease, detail).await, None);
         }
     };
     let mut headers = head.headers;
+    if head.status.is_success() && !headers.contains_key(&names.signature) {
+        // A leaf signs each success. A body without a length that ends when the leaf ends looks
+        // complete.
+        observation.fail();
+        return (broken_or_crashed(leaf, lease, "success without a signature".into()).await, None);
+    }
     if let Some(report) = text(&headers, &names.load).and_then(parse_report) {
         leaf.stats().record_report(report, now());
     }
@@ -336,12 +343,6 @@
             None,
         );
     }
-    if head.status.is_success() && !headers.contains_key(&names.signature) {
-        // A leaf signs each success. A body without a length that ends when the leaf ends looks
-        // complete.
-        observation.fail();
-        return (Outcome::Lost("success without a signature".into()), None);
-    }
     let time = if head.status.is_server_error() {
         observation.fail();
         None
@@ -381,8 +382,12 @@
 }
 
 /// Returns the outcome of a request whose connection broke.
-async fn lost_or_crashed(leaf: &Leaf, detail: SmolStr) -> Outcome {
-    if leaf.pool().is_refused().await { Outcome::Crashed(detail) } else { Outcome::Lost(detail) }
+async fn broken_or_crashed(leaf: &Leaf, lease: Lease, detail: SmolStr) -> Outcome {
+    match leaf.pool().examine(lease).await {
+        Verdict::Ended => Outcome::Crashed(detail),
+        Verdict::Running => Outcome::Lost(detail),
+        Verdict::Unknown => Outcome::Broken(detail),
+    }
 }
 
 /// Failure to read the body of an answer.
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -13,6 +13,7 @@
 use jaycrank_policy::attempts::Attempts;
 use jaycrank_policy::placement;
 use jaycrank_policy::quarantine::Isolation;
+use jaycrank_policy::quarantine::Run;
 use jaycrank_policy::quarantine::Turn;
 use jaycrank_policy::rate_limit::Permit;
 use jaycrank_policy::timing;
@@ -244,6 +245,10 @@
             Outcome::NotRun(detail) => (Reason::Rejected, detail, false),
             Outcome::NotSent(detail) => (Reason::Unreachable, detail, false),
             Outcome::Lost(detail) => (Reason::Lost, detail, true),
+            Outcome::Broken(detail) => {
+                self.record_loss(leaf);
+                (Reason::Lost, detail, true)
+            }
             Outcome::Crashed(detail) => {
                 self.record_crash(leaf);
                 (Reason::Crashed, detail, true)
@@ -306,6 +311,24 @@
         quarantine.record_incident(&id, &[fingerprint], isolated.then_some(fingerprint), now);
     }
 
+    /// Records that the connection to a leaf broke without a sign whether the leaf ended, which may
+    /// make the request a suspect unless it has just succeeded.
+    fn record_loss(&mut self, leaf: &Leaf) {
+        let run = match (self.is_isolated(), self.job.idempotent) {
+            (true, _) => Run::Isolated,
+            (false, true) => Run::Idempotent,
+            (false, false) => Run::Once,
+        };
+        if run != Run::Isolated && self.gateway.has_just_succeeded(&self.job.outgoing) {
+            return;
+        }
+        let fingerprint = self.job.outgoing.fingerprint();
+        let id = leaf.with_entry(|entry| entry.id.clone());
+        let (service, now) = (&self.job.service, Instant::now().into_std());
+        let quarantine = self.gateway.quarantine();
+        self.suspected |= quarantine.record_loss(fingerprint, service, &id, run, now);
+    }
+
     /// Records that the request ran without a crash if it is a suspect.
     fn clear_suspicion(&mut self) {
         if self.suspected || self.is_isolated() {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod server;
 pub mod token_exchange;
 pub mod token_owner;
+mod witness;
 
 pub use crate::catalog::Catalog;
 pub use crate::gateway::Gateway;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -25,8 +25,13 @@
 use tokio::sync::Semaphore;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::witness::Registration;
+use crate::witness::Verdict;
+use crate::witness::Witnesses;
+
 /// Timeout for opening a connection. A lost SYN packet is retransmitted only after one second; by
 /// then another leaf should have been tried.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -37,6 +42,9 @@
 /// the leaf while the request is on its way.
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time after which all connections of a process that has ended are seen to be broken.
+const WITNESS_DELAY: Duration = Duration::from_millis(5);
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Open connection. Dropping it closes it.
@@ -44,6 +52,7 @@
 pub(crate) struct Connection {
     pub(crate) sender: Sender,
     driver: AbortHandle,
+    registration: Registration,
     opened: Instant,
     idle_since: Instant,
     /// Time until which the connection may be used again.
@@ -82,6 +91,7 @@
     semaphore: Arc<Semaphore>,
     capacity: Mutex<Capacity>,
     idle: Mutex<Vec<Connection>>,
+    witnesses: Arc<Witnesses>,
     /// Start of the last probe, and whether the leaf refused the connection.
     probe: tokio::sync::Mutex<Option<(Instant, bool)>>,
 }
@@ -117,6 +127,7 @@
             semaphore: Arc::new(Semaphore::new(permits)),
             capacity: Mutex::new(Capacity { limit, permits }),
             idle: Mutex::default(),
+            witnesses: Arc::default(),
             probe: tokio::sync::Mutex::default(),
         }
     }
@@ -160,7 +171,7 @@
             return Ok(Lease { connection, connect_time: None, permit });
         }
         let started = Instant::now();
-        let connection = match timeout(CONNECT_TIMEOUT, open(self.address)).await {
+        let connection = match timeout(CONNECT_TIMEOUT, self.open()).await {
             Ok(opened) => opened?,
             Err(_) => return Err(Error("connect timeout".into())),
         };
@@ -186,9 +197,9 @@
         drop(permit);
     }
 
-    /// Closes the idle connections that were opened at `opened` or before.
-    pub(crate) fn close_opened_until(&self, opened: Instant) {
-        self.lock().retain(|connection| connection.opened > opened);
+    /// Takes the idle connections that were opened at `opened` or before.
+    fn take_opened_until(&self, opened: Instant) -> Vec<Connection> {
+        self.lock().extract_if(.., |connection| connection.opened <= opened).collect()
     }
 
     /// Closes connections that were idle for too long. The one used last may be idle for longer.
@@ -204,10 +215,30 @@
         idle.extend(last.filter(|last| is_kept(last, true)));
     }
 
-    /// Returns whether the leaf refuses connections, which shows that its process has ended. Called
-    /// after a connection broke; calls at the same time share one probe. A connection that the
-    /// probe opens replaces the broken one.
-    pub(crate) async fn is_refused(&self) -> bool {
+    /// Finds out whether the process of the leaf has ended, after the connection of a lease broke:
+    /// then the leaf refuses new connections, or all others broke too.
+    pub(crate) async fn examine(&self, lease: Lease) -> Verdict {
+        let broken_at = Instant::now();
+        let broken = lease.connection.registration.id();
+        // The older idle connections may be broken too, so they are not used while the leaf is probed.
+        let held = self.take_opened_until(lease.connection.opened);
+        drop(lease);
+        let refused = self.is_refused().await;
+        if refused {
+            return Verdict::Ended;
+        }
+        if self.witnesses.verdict(broken, broken_at) == Verdict::Running {
+            // The others may be about to break too.
+            sleep(WITNESS_DELAY).await;
+        }
+        let verdict = self.witnesses.verdict(broken, broken_at);
+        drop(held);
+        verdict
+    }
+
+    /// Returns whether the leaf refuses connections. Calls at the same time share one probe. A
+    /// connection that the probe opens replaces the broken one.
+    async fn is_refused(&self) -> bool {
         let called = Instant::now();
         let mut last = self.probe.lock().await;
         if let Some((started, refused)) = *last
@@ -218,7 +249,7 @@
         let started = Instant::now();
         let refused = match timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => {
-                if let Ok(connection) = set_up(stream).await {
+                if let Ok(connection) = self.set_up(stream).await {
                     self.keep_idle(connection, 0);
                 }
                 false
@@ -233,7 +264,7 @@
 
     /// Returns whether the leaf accepts a new connection, which is kept for reuse.
     pub(crate) async fn try_open(&self) -> bool {
-        match open(self.address).await {
+        match self.open().await {
             Ok(connection) => {
                 self.keep_idle(connection, 0);
                 true
@@ -252,6 +283,33 @@
         }
     }
 
+    async fn open(&self) -> Result<Connection, Error> {
+        let stream = TcpStream::connect(self.address).await.map_err(connect_error)?;
+        self.set_up(stream).await
+    }
+
+    async fn set_up(&self, stream: TcpStream) -> Result<Connection, Error> {
+        set_tcp_options(&stream).map_err(connect_error)?;
+        let (sender, driver) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(connect_error)?;
+        let registration = self.witnesses.register();
+        let (witnesses, id) = (self.witnesses.clone(), registration.id());
+        // The result is ignored: an error of the connection is reported by the request that uses it.
+        let driver = tokio::spawn(async move {
+            drop(driver.await);
+            witnesses.record_close(id);
+        });
+        let now = Instant::now();
+        Ok(Connection {
+            sender,
+            driver: driver.abort_handle(),
+            registration,
+            opened: now,
+            idle_since: now,
+            idle_until: now + connections::IDLE_TIMEOUT,
+        })
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.lock();
@@ -268,33 +326,6 @@
     }
 }
 
-impl Lease {
-    /// Returns the time at which the connection was opened.
-    pub(crate) fn opened(&self) -> Instant {
-        self.connection.opened
-    }
-}
-
-async fn open(address: SocketAddr) -> Result<Connection, Error> {
-    let stream = TcpStream::connect(address).await.map_err(connect_error)?;
-    set_up(stream).await
-}
-
-async fn set_up(stream: TcpStream) -> Result<Connection, Error> {
-    set_tcp_options(&stream).map_err(connect_error)?;
-    let (sender, driver) = http1::handshake(TokioIo::new(stream)).await.map_err(connect_error)?;
-    // The result is ignored: an error of the connection is reported by the request that uses it.
-    let driver = tokio::spawn(async move { drop(driver.await) }).abort_handle();
-    let now = Instant::now();
-    Ok(Connection {
-        sender,
-        driver,
-        opened: now,
-        idle_since: now,
-        idle_until: now + connections::IDLE_TIMEOUT,
-    })
-}
-
 #[cold]
 fn connect_error(error: impl fmt::Display) -> Error {
     Error(format_smolstr!("{error}"))
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -52,6 +52,11 @@
     /// Starts instances and leafs. The leafs are spread over `services`; the route `/all/` gathers
     /// over all of them and the other routes lead to the first one.
     async fn start(services: &[&str], manner: Manner) -> Self {
+        Self::start_with(INSTANCES, services, manner).await
+    }
+
+    /// Starts a tier of `instances` instances; see [`start`](Self::start).
+    async fn start_with(instances: usize, services: &[&str], manner: Manner) -> Self {
         let catalog = Arc::new(Catalog::new());
         catalog.put_config(config(1, services[0], services));
         let mut leafs = Vec::new();
@@ -62,13 +67,13 @@
             catalog.put_leaf(entry(&leaf, services[index % services.len()]));
             leafs.push(leaf);
         }
-        let peers: Vec<SocketAddr> = (0..INSTANCES).map(|_| free_address()).collect();
+        let peers: Vec<SocketAddr> = (0..instances).map(|_| free_address()).collect();
         let mut tier = Self { instances: Vec::new(), peers, catalog, leafs };
-        for index in 0..INSTANCES {
+        for index in 0..instances {
             let instance = tier.start_instance(index).await;
             tier.instances.push(Some(instance));
         }
-        sleep(DISCOVERY_TIME).await;
+        sleep(DISCOVERY_TIME.mul_f64(instances as f64 / INSTANCES as f64)).await;
         tier
     }
 
@@ -92,7 +97,8 @@
     /// Sends requests with different paths at all instances until `stop` is notified; returns how
     /// many were answered, and how many were sent.
     fn send_others(&self) -> (tokio::task::JoinHandle<(usize, usize)>, Arc<Notify>) {
-        let addresses: Vec<_> = (0..INSTANCES).map(|index| self.address(index)).collect();
+        let count = self.instances.len();
+        let addresses: Vec<_> = (0..count).map(|index| self.address(index)).collect();
         let stop = Arc::new(Notify::new());
         let stopped = stop.clone();
         let task = tokio::spawn(async move {
@@ -100,7 +106,7 @@
             loop {
                 let id = format!("other-{sent}");
                 let request = get(&format!("/read/{}", sent % 7), &id);
-                let response = call(addresses[sent % INSTANCES], &request).await;
+                let response = call(addresses[sent % count], &request).await;
                 sent += 1;
                 answered += usize::from(response.status == 200);
                 if timeout(Duration::from_millis(2), stopped.notified()).await.is_ok() {
@@ -116,7 +122,8 @@
         let mut statuses = Vec::new();
         for index in 0..count {
             let id = format!("{}-{index}", path.trim_matches('/'));
-            statuses.push(call(self.address(index % INSTANCES), &get(path, &id)).await.status);
+            let address = self.address(index % self.instances.len());
+            statuses.push(call(address, &get(path, &id)).await.status);
             sleep(pause).await;
         }
         statuses
@@ -166,6 +173,56 @@
     }
 }
 
+/// Guards against two requests that crash leafs at the same time and hide each other: both were
+/// suspects again whenever one was refused.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn two_requests_that_crash_leafs_are_both_stopped() {
+    for round in 0..4 {
+        let tier = Tier::start(&["db"], Manner::Close).await;
+        for index in 0..60 {
+            let mut calls = JoinSet::new();
+            for path in ["/read/poison-1", "/write/poison-2"] {
+                let address = tier.address((index + round) % INSTANCES);
+                let request = get(path, &format!("{index}"));
+                calls.spawn(async move { call(address, &request).await.status });
+            }
+            while calls.join_next().await.is_some() {}
+            sleep(Duration::from_millis(20)).await;
+        }
+        let crashes = tier.crashes();
+        assert!(crashes <= 2 * CRASHES_MAX, "round {round}: {crashes} crashes");
+    }
+}
+
+/// Guards against a leaf that listens again before the instance can see that it has ended, so that
+/// its end looks like a connection that broke for another reason.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_crashes_leafs_that_listen_again_at_once_is_stopped() {
+    let cases = [
+        (Manner::Close, "/read/poison", INSTANCES, true),
+        (Manner::Close, "/write/poison", 2 * INSTANCES, true),
+        (Manner::Reset, "/read/poison", 2 * INSTANCES, true),
+        (Manner::Reset, "/write/poison", INSTANCES, false),
+        (Manner::Partial, "/read/poison", INSTANCES, false),
+        (Manner::Partial, "/write/poison", 2 * INSTANCES, false),
+    ];
+    for (manner, path, instances, with_others) in cases {
+        let tier = Tier::start_with(instances, &["db"], manner).await;
+        let (target, downtime) = ("poison".to_owned(), Duration::ZERO);
+        let crash = Crash { target, manner, downtime };
+        tier.leafs.iter().for_each(|leaf| leaf.set_crash(Some(crash.clone())));
+        let others = with_others.then(|| tier.send_others());
+        tier.send(path, SENDS, Duration::from_millis(5)).await;
+        if let Some((others, stop)) = others {
+            stop.notify_one();
+            let (answered, sent) = others.await.unwrap();
+            assert!(answered * 100 >= sent * 99, "{answered} of {sent} others answered");
+        }
+        let crashes = tier.crashes();
+        assert!((1..=CRASHES_MAX).contains(&crashes), "{manner:?} {path}: {crashes} crashes");
+    }
+}
+
 /// Guards against instances that get the request at the same moment and each crash a second leaf
 /// before they hear of each other.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -8,7 +8,7 @@
 //! [`slots`] and [`concurrency`] limit the sub-requests in flight, [`replica`] chooses the leaf of
 //! each, and [`hedge`] sends some of them twice, based on the latencies of [`quantile`] and within
 //! a [`budget`]. [`gather`] determines what the answer covers, [`quarantine`] which requests crash
-//! servers. [`tally`] counts what each member received, and [`share_average`] compares that with
+//! servers, also where a connection broke without a sign of that ([`losses`]). [`tally`] counts what each member received, and [`share_average`] compares that with
 //! its share. [`rendezvous`] decides which instance owns a key.
 //!
 //! A request to the gateway is admitted or refused by [`overload`] and matched with a [`route`].
@@ -33,6 +33,7 @@
 mod fifo;
 pub mod gather;
 pub mod hedge;
+pub mod losses;
 pub mod merge;
 pub mod overload;
 pub mod placement;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -26,6 +26,8 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::losses::Losses;
+
 /// A hash of the service and body of a request.
 pub type Fingerprint = u64;
 
@@ -136,6 +138,17 @@
     },
 }
 
+/// Run of a request that was lost; see [`Quarantine::record_loss`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Run {
+    /// A run that may be repeated.
+    Idempotent,
+    /// The only run that is allowed.
+    Once,
+    /// The isolated run of a suspect.
+    Isolated,
+}
+
 /// Result of waiting for an isolated run; see [`Quarantine::isolate`].
 pub enum Turn {
     /// The request may run isolated until the permit is dropped.
@@ -257,6 +270,8 @@
     ready: BTreeSet<SmolStr>,
     /// Fingerprints of the isolated runs at this instance.
     isolated: BTreeSet<Fingerprint>,
+    /// Requests that were lost without a sign whether the leaf ended.
+    losses: Losses,
 }
 
 /// One instance's view of the requests that are suspected of crashing servers.
@@ -463,6 +478,40 @@
         self.changed.notify_one();
     }
 
+    /// Records that the connection to a leaf of `service` broke with a request in flight, and that
+    /// nothing shows whether the leaf ended. Returns whether the request is a suspect.
+    ///
+    /// If it was the isolated run of a suspect, the request is refused for a short time, unless other
+    /// requests were lost elsewhere at the same moment.
+    pub fn record_loss(
+        &self,
+        fingerprint: Fingerprint,
+        service: &SmolStr,
+        leaf: &SmolStr,
+        run: Run,
+        now: Instant,
+    ) -> bool {
+        let mut inner = lock(&self.inner);
+        let idempotent = run == Run::Idempotent;
+        let mut leafs = inner.losses.record(fingerprint, service, leaf, idempotent, now);
+        if run == Run::Isolated {
+            leafs = vec![leaf.clone()];
+        }
+        for leaf in &leafs {
+            inner.record_suspect(fingerprint, leaf, &self.name, now);
+        }
+        let known = inner.entries.get(&fingerprint).map(|entry| &entry.observation.leafs);
+        let is_alone = known.is_some_and(|leafs| !inner.losses.has_others(fingerprint, leafs, now));
+        if run == Run::Isolated && is_alone {
+            inner.refuse_unconfirmed(fingerprint, now);
+        }
+        drop(inner);
+        if !leafs.is_empty() {
+            self.changed.notify_one();
+        }
+        !leafs.is_empty()
+    }
+
     /// Records that a run of a suspect succeeded. It also ends a refusal without an isolated run.
     pub fn record_success(&self, fingerprint: Fingerprint, now: Instant) {
         let mut inner = lock(&self.inner);
@@ -611,10 +660,14 @@
         if is_shared || others >= MASS_FAILURE_LEAFS {
             return;
         }
-        if let Some(entry) = self.entries.get_mut(&fingerprint) {
-            entry.observation.state = State::Refused;
-            entry.changed_at = now;
-        }
+        self.refuse_unconfirmed(fingerprint, now);
+    }
+
+    /// Refuses a suspect although no isolated run has crashed a leaf.
+    fn refuse_unconfirmed(&mut self, fingerprint: Fingerprint, now: Instant) {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else { return };
+        entry.observation.state = State::Refused;
+        entry.changed_at = now;
         self.apply_refusal(fingerprint, now);
     }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -112,7 +112,8 @@
     pub target: String,
     /// What the connections show.
     pub manner: Manner,
-    /// Time until the server accepts connections again.
+    /// Time until the server accepts connections again. If it is zero, the listener stays open, as
+    /// with a supervisor that holds it, so that no connection is refused.
     pub downtime: Duration,
 }
 
@@ -275,12 +276,18 @@
 /// then starts again at the same address.
 async fn run(mut listener: TcpListener, address: SocketAddr, shared: Arc<Shared>) {
     loop {
-        accept(listener, &shared).await;
+        let mut connections = accept(&listener, &shared).await;
         let downtime = {
             let mut state = lock(&shared.state);
             state.crashes += 1;
             state.crash.as_ref().map(|crash| crash.downtime).unwrap_or_default()
         };
+        if downtime.is_zero() {
+            end_connections(&mut connections, &shared).await;
+            continue;
+        }
+        drop(listener);
+        end_connections(&mut connections, &shared).await;
         sleep(downtime).await;
         listener = loop {
             match TcpListener::bind(address).await {
@@ -291,13 +298,13 @@
     }
 }
 
-/// Accepts connections until the server crashes.
-async fn accept(listener: TcpListener, shared: &Arc<Shared>) {
+/// Accepts connections until the server crashes; returns those that are open.
+async fn accept(listener: &TcpListener, shared: &Arc<Shared>) -> JoinSet<()> {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             biased;
-            () = shared.crashed.notified() => break,
+            () = shared.crashed.notified() => return connections,
             accepted = listener.accept() => {
                 let Ok((stream, _)) = accepted else { continue };
                 let shared = shared.clone();
@@ -309,7 +316,10 @@
             }
         }
     }
-    drop(listener);
+}
+
+/// Ends all connections, as a crash does.
+async fn end_connections(connections: &mut JoinSet<()>, shared: &Shared) {
     connections.shutdown().await;
     // Several requests may have caused this crash; it must not be repeated after the restart.
     let _ = timeout(Duration::ZERO, shared.crashed.notified()).await;
