Do not hedge or repeat a request at other shards once it is a suspect

Each shard of a gathered request was fetched on its own: after it had ended a leaf of one shard, its hedges and repeats at the others went on until each had seen a crash of its own, so up to maxAttempts leafs of each shard ended. A hedge and a repeat now ask the quarantine first. The new test counted two sends to a shard whose leafs are slow, and counts one now; gateway/quarantine passes three times.

--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -12,6 +12,7 @@
 use jaycrank_event::event;
 use jaycrank_policy::attempts::Attempts;
 use jaycrank_policy::placement;
+use jaycrank_policy::quarantine::Decision;
 use jaycrank_policy::quarantine::Isolation;
 use jaycrank_policy::quarantine::Run;
 use jaycrank_policy::quarantine::Turn;
@@ -338,6 +339,17 @@
         }
     }
 
+    /// Returns whether the request may run only isolated from now on: a leaf ended with it in flight,
+    /// here, at another shard or at another instance.
+    fn is_suspected(&self) -> bool {
+        let quarantine = self.gateway.quarantine();
+        self.suspected
+            || !self.is_isolated()
+                && !quarantine.is_empty()
+                && quarantine.decide(self.job.outgoing.fingerprint(), Instant::now().into_std())
+                    != Decision::Run
+    }
+
     fn is_isolated(&self) -> bool {
         self.job.isolated || self.isolation.is_some()
     }
@@ -346,7 +358,7 @@
     /// be sent after a leaf may have run it, and a suspect only when it runs isolated.
     fn may_send_again(&self) -> bool {
         let might_run_twice = self.failure.may_have_run && !self.job.idempotent;
-        !might_run_twice && !self.suspected && self.attempts.allows_send()
+        !might_run_twice && !self.is_suspected() && self.attempts.allows_send()
     }
 
     fn may_hedge(&self) -> bool {
@@ -356,7 +368,7 @@
     /// Sends the request again when none is in flight; returns the time at which it is hedged, or
     /// `None` if it was not sent.
     async fn resume(&mut self) -> Option<Instant> {
-        if self.suspected {
+        if self.is_suspected() {
             self.run_isolated().await
         } else if let Some(leaf) = self.limited.clone() {
             self.wait_for_token(&leaf).await
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -22,6 +22,7 @@
 use jaycrank_standin::server::Crash;
 use jaycrank_standin::server::Manner;
 use jaycrank_standin::server::Reaction;
+use jaycrank_standin::server::Request;
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -284,6 +285,31 @@
     assert!((1..=services.len() as u64 + 1).contains(&crashes), "{crashes} crashes");
 }
 
+/// Guards against hedges of a gathered request at the other shards after it has crashed a leaf of
+/// one: they crash leafs that the first sends have spared.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn gathered_request_that_crashed_a_leaf_is_not_hedged() {
+    let services = ["s0", "s1", "s2"];
+    let tier = Tier::start(&services, Manner::Close).await;
+    tier.send("/all/harmless", 30, Duration::ZERO).await;
+    for leaf in tier.leafs.iter().enumerate().filter(|(index, _)| index % services.len() > 0) {
+        leaf.1.set_crash(None);
+        leaf.1.set_reaction(Reaction::Answer(vec![b'a'; 16], Duration::from_millis(400)));
+    }
+    call(tier.address(0), &get("/all/poison", "p")).await;
+    for (index, leaf) in tier.leafs.iter().enumerate() {
+        let is_poison = |request: &&Request| request.target.contains("poison");
+        let sends = leaf.executed().iter().filter(is_poison).count();
+        let hedged = tier.leafs[(index + services.len()) % LEAFS].executed();
+        let sends_to_shard = sends + hedged.iter().filter(is_poison).count();
+        let is_crashing_shard = index % services.len() == 0;
+        assert!(
+            is_crashing_shard || sends_to_shard == 1,
+            "shard of leaf {index}: {sends_to_shard}"
+        );
+    }
+}
+
 /// Leafs crash without a request to blame, each time with the same popular request in flight at
 /// several of them: one leaf, half of them, and all. Guards against refusing that request after
 /// the leafs are back.
