Ask in one place whether a leaf may get a request, and again when it is sent

The choice of a leaf and the moment of sending asked its limit separately, and the next reason would have been asked in both places again. Leaf::admit and Leaf::confirm now answer with a Pass or with the Hold that forbids it (policy::hold). Behaviour is unchanged: the tests rate_limit, delegation, forward and gather of the gateway pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,12 +23,12 @@
 use hyper::http::uri::PathAndQuery;
 use jaycrank_event::Event;
 use jaycrank_event::event;
+use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement::LoadReport;
 use jaycrank_policy::placement::Ticket;
 use jaycrank_policy::quarantine;
 use jaycrank_policy::quarantine::Fingerprint;
 use jaycrank_policy::rate_limit;
-use jaycrank_policy::rate_limit::Permit;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
@@ -39,6 +39,7 @@
 use crate::header::number;
 use crate::header::text;
 use crate::leaf::Leaf;
+use crate::leaf::Pass;
 use crate::pool;
 use crate::pool::Lease;
 use crate::rate_limit::RateLimits;
@@ -134,8 +135,8 @@
     Answered(Answer),
     /// The leaf stated that it did not run the request.
     NotRun(SmolStr),
-    /// The request was not sent because of the limit that the leaf states.
-    Limited,
+    /// The request was not sent: the leaf may not get it now.
+    Held(Hold),
     /// No byte of the request was sent.
     NotSent(SmolStr),
     /// The request was sent without a usable answer; it may have run.
@@ -179,7 +180,7 @@
 }
 
 /// Settings of an attempt.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Context {
     /// Names of headers.
     pub names: Arc<Names>,
@@ -190,9 +191,7 @@
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Permission to send the request to the leaf.
-    pub permit: Permit,
-    /// Rank of the request.
-    pub rank: u8,
+    pub pass: Pass,
     /// Leafs that may run the request.
     pub sent: Arc<SentLeafs>,
     /// Whether this instance reaches leafs.
@@ -230,9 +229,9 @@
         let domain = leaf.with_entry(|entry| entry.failure_domain.clone());
         context.round_trips.record(&domain, time);
     }
-    if !leaf.rate_limit().confirm(context.permit, context.rank) {
+    if let Err(hold) = leaf.confirm(&context.pass) {
         leaf.pool().release_unused(lease);
-        return (Outcome::Limited, None);
+        return (Outcome::Held(hold), None);
     }
     let sent = leaf.rate_limit().is_limited().then(now);
     context.sent.insert(&leaf);
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -11,12 +11,12 @@
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_policy::attempts::Attempts;
+use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement;
 use jaycrank_policy::quarantine::Decision;
 use jaycrank_policy::quarantine::Isolation;
 use jaycrank_policy::quarantine::Run;
 use jaycrank_policy::quarantine::Turn;
-use jaycrank_policy::rate_limit::Permit;
 use jaycrank_policy::timing;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
@@ -36,6 +36,7 @@
 use crate::gateway::Gateway;
 use crate::leaf::IsolatedLeaf;
 use crate::leaf::Leaf;
+use crate::leaf::Pass;
 use crate::quarantine;
 use crate::rate_limit;
 use crate::rate_limit::Waiting;
@@ -94,6 +95,14 @@
     Failed,
 }
 
+impl From<Hold> for Reason {
+    fn from(hold: Hold) -> Self {
+        match hold {
+            Hold::Limited(_) => Self::Limited,
+        }
+    }
+}
+
 /// Failed fetch.
 #[derive(Clone, Debug)]
 pub struct Failure {
@@ -242,7 +251,7 @@
                 self.failure.answer = Some(answer);
                 (Reason::Failed, status, true)
             }
-            Outcome::Limited => (Reason::Limited, SmolStr::default(), false),
+            Outcome::Held(hold) => (hold.into(), SmolStr::default(), false),
             Outcome::NotRun(detail) => (Reason::Rejected, detail, false),
             Outcome::NotSent(detail) => (Reason::Unreachable, detail, false),
             Outcome::Lost(detail) => (Reason::Lost, detail, true),
@@ -452,7 +461,7 @@
     /// extra requests is exhausted.
     fn send(&mut self, cause: &'static str) -> Option<Instant> {
         let now = Instant::now();
-        let (leaf, expected, permit) = self.choose(now)?;
+        let (leaf, expected, pass) = self.choose(now)?;
         let id = leaf.with_entry(|entry| entry.id.clone());
         if self.resent || self.attempts.sends() > 0 {
             let granted = self.gateway.quotas().try_spend(&self.job.service);
@@ -482,8 +491,7 @@
             round_trips: self.gateway.round_trips().clone(),
             deadline: self.job.deadline,
             idempotent: self.job.idempotent,
-            permit,
-            rank: self.job.rank,
+            pass,
             sent: self.job.sent.clone(),
             reachability: self.gateway.reachability().clone(),
             rate_limits: self.gateway.rate_limits().clone(),
@@ -503,7 +511,7 @@
 
     /// Chooses among the leafs that were not tried, or else among those that failed. An isolated run
     /// goes to a leaf without another one if there is such a leaf, so that a crash has one suspect.
-    fn choose(&mut self, now: Instant) -> Option<(Arc<Leaf>, Expected, Permit)> {
+    fn choose(&mut self, now: Instant) -> Option<(Arc<Leaf>, Expected, Pass)> {
         let mut limited = None;
         let is_free = |leaf: &Leaf| !self.is_isolated() || !leaf.runs_isolated();
         let is_new = |leaf: &LeafId| self.attempts.allows_new_leaf(leaf);
@@ -529,7 +537,7 @@
         now: Instant,
         limited: &mut Option<Arc<Leaf>>,
         allow: impl Fn(&Leaf, &LeafId) -> bool,
-    ) -> Option<(Arc<Leaf>, Expected, Permit)> {
+    ) -> Option<(Arc<Leaf>, Expected, Pass)> {
         let now = now.into_std();
         let service_times = self.gateway.service_time(&self.job.service);
         let usable = self.gateway.directory().usable(&self.job.service, now);
@@ -557,16 +565,16 @@
             let round_trip = round_trips.swap_remove(position);
             times.swap_remove(position);
             let limit = leaf.rate_limit();
-            let permit = limit.try_acquire(self.job.rank);
+            let admitted = leaf.admit(self.job.rank);
             if limit.is_limited() {
                 self.gateway.rate_limits().record_demand(limit);
             }
-            match permit {
-                Some(permit) => {
+            match admitted {
+                Ok(pass) => {
                     let best_other = times.into_iter().min();
-                    return Some((leaf, Expected { round_trip, best_other }, permit));
+                    return Some((leaf, Expected { round_trip, best_other }, pass));
                 }
-                None => _ = limited.get_or_insert(leaf),
+                Err(Hold::Limited(_)) => _ = limited.get_or_insert(leaf),
             }
         }
     }
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -10,9 +10,11 @@
 use std::time::Instant;
 
 use jaycrank_policy::connections::ConnectionLimit;
+use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement::LeafStats;
 use jaycrank_policy::presence::Eligibility;
 use jaycrank_policy::presence::Presence;
+use jaycrank_policy::rate_limit::Permit;
 
 use crate::catalog::Entry;
 use crate::catalog::LeafId;
@@ -38,6 +40,13 @@
     rate_limit: LeafLimit,
 }
 
+/// Permission to send one request to a leaf.
+#[derive(Debug)]
+pub struct Pass {
+    permit: Permit,
+    rank: u8,
+}
+
 /// Mark of a leaf at which a suspect runs isolated, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct IsolatedLeaf(Arc<Leaf>);
@@ -122,6 +131,30 @@
         self.isolated_runs.load(Ordering::Relaxed) > 0
     }
 
+    /// Asks whether the leaf may get a request of this rank, when the leaf is chosen.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Hold`] if it may not get one now.
+    pub(crate) fn admit(&self, rank: u8) -> Result<Pass, Hold> {
+        let permit = self.rate_limit.try_acquire(rank);
+        let permit = permit.ok_or_else(|| Hold::Limited(self.rate_limit.wait()))?;
+        Ok(Pass { permit, rank })
+    }
+
+    /// Asks again at the moment of sending: what the leaf states may have changed while the request
+    /// waited for a connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Hold`] if the request must not be sent.
+    pub(crate) fn confirm(&self, pass: &Pass) -> Result<(), Hold> {
+        match self.rate_limit.confirm(pass.permit, pass.rank) {
+            true => Ok(()),
+            false => Err(Hold::Limited(self.rate_limit.wait())),
+        }
+    }
+
     /// Returns the limit that the leaf states for its requests, and the tokens for it.
     pub fn rate_limit(&self) -> &LeafLimit {
         &self.rate_limit
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,7 +16,7 @@
 //! considers present, and [`connections`] limits this instance's connections to it. [`timing`] sets
 //! the hedge delay and the time from which a partial answer is sent, [`attempts`] and
 //! [`extra_requests`] limit the retries and hedges, [`rate_limit`] the requests to a leaf that states
-//! a limit, [`reachability`] tells whether all leafs are out of reach, [`shard_throttle`] leaves out shards with too
+//! a limit, [`hold`] names why a leaf may not get a request now, [`reachability`] tells whether all leafs are out of reach, [`shard_throttle`] leaves out shards with too
 //! little capacity, and [`merge`] combines the answers.
 //!
 //! Code that depends on the time takes a [`std::time::Instant`] as an argument or reads tokio's
@@ -33,6 +33,7 @@
 mod fifo;
 pub mod gather;
 pub mod hedge;
+pub mod hold;
 pub mod losses;
 pub mod merge;
 pub mod overload;
