Send nothing more to a leaf that says in an answer that it leaves

Each answer of a leaf is read for the header, rejections, failures and parts included. The leaf is then not chosen any more, whatever its entry says, and a request that waits for a connection asks again before it is sent. If no other leaf of the service is usable, leafs that leave serve for 1.5 s as a last resort, then requests are refused at once. Only a new incarnation ends it: a leaf may leave without ever marking its entry, so a later entry that says ready shows nothing. An entry that lapses and comes back is recognized by its start. Peers are not told otherwise: each instance learns it from its first answer, and a wrong mark does not spread.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -92,6 +92,10 @@
     LeafsUnreachable,
     /// The instance reaches leafs again.
     LeafsReachable,
+    /// A leaf says that it leaves.
+    LeafLeaving,
+    /// A header of a leaf has a value that is not defined.
+    LeafHeaderInvalid,
     /// The instance received newer documents from a peer.
     PeerDocuments,
     /// The process settings were reloaded.
@@ -138,6 +142,8 @@
             Self::LeafLimitInvalid => "JC0707",
             Self::LeafsUnreachable => "JC0708",
             Self::LeafsReachable => "JC0709",
+            Self::LeafLeaving => "JC0710",
+            Self::LeafHeaderInvalid => "JC0711",
             Self::PeerDocuments => "JC0801",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
@@ -201,6 +207,8 @@
             Self::LeafLimitInvalid => "limit of a leaf is not valid",
             Self::LeafsUnreachable => "instance is cut off from all leafs",
             Self::LeafsReachable => "instance reaches leafs again",
+            Self::LeafLeaving => "leaf says that it leaves",
+            Self::LeafHeaderInvalid => "header of a leaf is not valid",
             Self::PeerDocuments => "newer documents were received from a peer",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -51,6 +51,9 @@
 /// Largest answer of a leaf, in bytes.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 
+/// Value of the header by which a leaf says that it leaves.
+const LEAVING: &str = "1";
+
 /// Statuses that tell a caller that its request was not run.
 const REFUSAL_STATUSES: [StatusCode; 3] =
     [StatusCode::REQUEST_TIMEOUT, StatusCode::TOO_MANY_REQUESTS, StatusCode::SERVICE_UNAVAILABLE];
@@ -250,6 +253,10 @@
                             return (Outcome::NotSent(format_smolstr!("{error}")), None);
                         }
                     };
+                    if let Err(hold) = leaf.confirm(&context.pass) {
+                        leaf.pool().release_unused(lease);
+                        return (Outcome::Held(hold), None);
+                    }
                     // Waiting for the connection took time, so the deadline header is set again.
                     request = unsent;
                     set_deadline(&mut request, &context);
@@ -300,6 +307,7 @@
         return (Outcome::Lost("response to another request".into()), None);
     }
     record_limit(leaf, context, &head, sent);
+    record_leaving(leaf, context, &head);
     let body = match read_body(body, &context.answer_memory).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
@@ -380,6 +388,28 @@
     }
 }
 
+/// Records that the leaf leaves if its answer says so. Another process may answer at the address of
+/// a leaf that has ended.
+fn record_leaving(leaf: &Leaf, context: &Context, head: &response::Parts) {
+    let name = &context.names.leaving;
+    if head.status == StatusCode::MISDIRECTED_REQUEST || !head.headers.contains_key(name) {
+        return;
+    }
+    let (id, service) = leaf.with_entry(|entry| (entry.id.clone(), entry.service.clone()));
+    if let Some(value) = head.headers.get_all(name).iter().find(|value| *value != LEAVING) {
+        let value = String::from_utf8_lossy(value.as_bytes());
+        event!(
+            Event::LeafHeaderInvalid,
+            leaf = id,
+            service = service,
+            header = name,
+            value = value
+        );
+    } else if leaf.mark_leaving(now()) {
+        event!(Event::LeafLeaving, leaf = id, service = service, source = "answer");
+    }
+}
+
 /// Returns the outcome of a request whose connection broke.
 async fn broken_or_crashed(leaf: &Leaf, lease: Lease, detail: SmolStr) -> Outcome {
     match leaf.pool().examine(lease).await {
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -40,6 +40,7 @@
 use crate::call::Service;
 use crate::config::Version;
 use crate::gateway::Gateway;
+use crate::leaf::LeafKey;
 use crate::peer::Peers;
 use crate::query;
 use crate::sent::LeafsByService;
@@ -47,6 +48,9 @@
 
 /// HTTP path at which other instances pass requests to this one.
 pub(crate) const DELEGATION_PATH: &str = "/delegation";
+/// Header of a reply to another instance, with the start and the id of a leaf that leaves: an answer
+/// by which a leaf leaves counts at both instances.
+const LEAVING_LEAF: HeaderName = HeaderName::from_static("x-leaving-leaf");
 /// Most requests of other instances that are run at a time.
 const REQUESTS_MAX: usize = 64;
 /// Largest answer, in bytes; answers of leafs are smaller.
@@ -325,6 +329,26 @@
     }
 }
 
+/// Names the leafs that leave in the reply to another instance.
+pub(crate) fn set_leaving(reply: &mut Reply, leaving: Vec<LeafKey>) {
+    for (id, started_ms) in leaving {
+        if let Ok(value) = HeaderValue::from_str(&format!("{started_ms} {id}")) {
+            reply.headers_mut().append(LEAVING_LEAF, value);
+        }
+    }
+}
+
+/// Removes the names of the leafs that leave from the reply of another instance and returns them.
+pub(crate) fn take_leaving(reply: &mut Reply) -> Vec<LeafKey> {
+    let parse = |value: &HeaderValue| {
+        let (started_ms, id) = value.to_str().ok()?.split_once(' ')?;
+        Some((id.into(), started_ms.parse().ok()?))
+    };
+    let leaving = reply.headers().get_all(LEAVING_LEAF).iter().filter_map(parse).collect();
+    reply.headers_mut().remove(LEAVING_LEAF);
+    leaving
+}
+
 /// Returns headers as they are sent to another instance.
 pub(crate) fn encode_headers(headers: &HeaderMap) -> Vec<(SmolStr, Bytes)> {
     let encoded = headers.iter().map(|(name, value)| {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -25,6 +25,7 @@
 use crate::config::Active;
 use crate::config::Config;
 use crate::leaf::Leaf;
+use crate::leaf::LeafKey;
 
 /// Connections to a leaf whose service is not in the configuration.
 const CONNECTIONS_DEFAULT: u32 = 16;
@@ -57,6 +58,9 @@
     revision: Revision,
     /// Revision up to which the leafs are known from other instances.
     peer_revision: Revision,
+    /// Leafs that said that they leave and are no longer listed: start and time of the answer. Their
+    /// entries may come back.
+    leaving: BTreeMap<LeafId, (u64, Instant)>,
     /// Whether leafs were received from the catalog or from another instance.
     listed: bool,
     /// When the catalog last became available again.
@@ -211,6 +215,16 @@
         self.lock().leafs.get(id).cloned()
     }
 
+    /// Records that another instance received an answer by which this incarnation of a leaf leaves.
+    pub(crate) fn mark_leaving(&self, key: &LeafKey, now: Instant) {
+        let leaf = self.leaf(&key.0).filter(|leaf| leaf.key() == *key);
+        if leaf.as_ref().is_some_and(|leaf| leaf.mark_leaving(now)) {
+            let service = leaf.map(|leaf| leaf.with_entry(|entry| entry.service.clone()));
+            let service = service.unwrap_or_default();
+            event!(Event::LeafLeaving, leaf = key.0, service = service, source = "peer");
+        }
+    }
+
     /// Returns all leafs, also lapsed ones.
     pub fn leafs(&self) -> Vec<Arc<Leaf>> {
         self.lock().leafs.values().cloned().collect()
@@ -310,6 +324,11 @@
         let fleet = state.fleet.unwrap_or(FleetSize { own_region: 1, all: 1 });
         let leaf =
             Arc::new(Leaf::new(entry.clone(), ConnectionLimit::new(bounds, fleet), revision, now));
+        if let Some((started_ms, at)) = state.leaving.get(&entry.id)
+            && *started_ms == entry.started_ms
+        {
+            leaf.mark_leaving(*at);
+        }
         state.dropped.remove(&entry.id);
         state.removed.remove(&entry.id);
         state.services.entry(entry.service).or_default().push(leaf.clone());
@@ -347,7 +366,7 @@
                 self.compacted = self.compacted.max(revision);
             }
         }
-        if leaf.presence() == Presence::Draining {
+        if matches!(leaf.presence(), Presence::Draining | Presence::Leaving(_)) {
             self.drop_leaf(id);
         } else if leaf.presence() == Presence::Listed {
             event!(Event::LeafLapsed, leaf = id, revision = revision);
@@ -362,6 +381,12 @@
         if self.dropped.len() > DROPPED_LEAFS_MAX {
             self.dropped.pop_first();
         }
+        if let Some(at) = leaf.leaving_since() {
+            self.leaving.insert(id.clone(), (entry.started_ms, at));
+            if self.leaving.len() > DROPPED_LEAFS_MAX {
+                self.leaving.pop_first();
+            }
+        }
         if let Some(leafs) = self.services.get_mut(&entry.service) {
             leafs.retain(|other| !Arc::ptr_eq(other, &leaf));
         }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -79,6 +79,8 @@
 pub enum Reason {
     /// The service has no usable leaf.
     NoLeaf,
+    /// The leafs that were chosen leave.
+    Leaving,
     /// The leafs of the service take no more requests by the limits that they state.
     Limited,
     /// All leafs that the request was sent to rejected it.
@@ -98,6 +100,7 @@
 impl From<Hold> for Reason {
     fn from(hold: Hold) -> Self {
         match hold {
+            Hold::Leaving => Self::Leaving,
             Hold::Limited(_) => Self::Limited,
         }
     }
@@ -444,6 +447,12 @@
             && self.failure.reason != Reason::NoLeaf
             && Instant::now() + REJECTED_RETRY_DELAY < self.job.answer_at
         {
+            if self.has_no_leaf() {
+                if !self.failure.may_have_run {
+                    self.failure.reason = Reason::NoLeaf;
+                }
+                return None;
+            }
             tokio::time::sleep(REJECTED_RETRY_DELAY).await;
             self.attempts.clear_rejections();
             if let Some(at) = self.send("rejected") {
@@ -456,6 +465,12 @@
         None
     }
 
+    /// Returns whether the service has no usable leaf left.
+    fn has_no_leaf(&self) -> bool {
+        let now = Instant::now().into_std();
+        self.gateway.directory().usable(&self.job.service, now).is_empty()
+    }
+
     /// Sends the request to a leaf; every send but the first is an extra request. Returns the time
     /// at which it is hedged, or `None` if it was not sent: no leaf may take it, or the budget of
     /// extra requests is exhausted.
@@ -574,6 +589,7 @@
                     let best_other = times.into_iter().min();
                     return Some((leaf, Expected { round_trip, best_other }, pass));
                 }
+                Err(Hold::Leaving) => {}
                 Err(Hold::Limited(_)) => _ = limited.get_or_insert(leaf),
             }
         }
--- a/crates/gateway/src/header.rs
+++ b/crates/gateway/src/header.rs
@@ -22,6 +22,8 @@
     pub load: HeaderName,
     /// Requests a second that the leaf takes from all instances together, if it limits them.
     pub rate_limit: HeaderName,
+    /// `1` if the leaf leaves and wants no new requests.
+    pub leaving: HeaderName,
     /// Signatures of the parts in a merged response, separated by commas.
     pub part_signatures: HeaderName,
     /// Number of shards that a merged response lacks.
@@ -38,6 +40,7 @@
             not_run: HeaderName::from_static("x-not-run"),
             load: HeaderName::from_static("x-load"),
             rate_limit: HeaderName::from_static("x-rate-limit"),
+            leaving: HeaderName::from_static("x-leaving"),
             part_signatures: HeaderName::from_static("x-part-signatures"),
             missing_parts: HeaderName::from_static("x-missing-parts"),
         }
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
@@ -31,6 +32,8 @@
 pub struct Leaf {
     entry: Mutex<Entry>,
     presence: Mutex<Presence>,
+    /// Time at which the leaf said in an answer that it leaves.
+    leaving: OnceLock<Instant>,
     stats: Mutex<LeafStats>,
     /// Catalog revision of the last known change of the entry.
     revision: AtomicU64,
@@ -45,6 +48,8 @@
 pub struct Pass {
     permit: Permit,
     rank: u8,
+    /// Eligibility when the leaf was chosen.
+    departure: Eligibility,
 }
 
 /// Mark of a leaf at which a suspect runs isolated, until it is dropped.
@@ -72,6 +77,7 @@
         Self {
             pool: Pool::new(entry.address, limit),
             presence: Mutex::new(presence(&entry)),
+            leaving: OnceLock::new(),
             stats: Mutex::new(stats),
             revision: AtomicU64::new(revision),
             entry: Mutex::new(entry),
@@ -110,9 +116,33 @@
         }
     }
 
-    /// Returns the state of the entry.
+    /// Returns the state of the entry, or that the leaf leaves if it says so in an answer. The entry
+    /// may be older than the answer or come from an outdated reader, so it does not end that.
     pub fn presence(&self) -> Presence {
-        *lock(&self.presence)
+        let presence = *lock(&self.presence);
+        match self.leaving.get() {
+            Some(at) if presence != Presence::Draining => Presence::Leaving(*at),
+            _ => presence,
+        }
+    }
+
+    /// Records that the leaf said in an answer at this time that it leaves. Only a new incarnation
+    /// ends that. Returns whether it was new.
+    pub(crate) fn mark_leaving(&self, at: Instant) -> bool {
+        self.leaving.set(at).is_ok()
+    }
+
+    /// Returns the time at which the leaf first said that it leaves.
+    pub(crate) fn leaving_since(&self) -> Option<Instant> {
+        self.leaving.get().copied()
+    }
+
+    /// Returns the eligibility of the leaf as far as it leaves; a lapsed entry counts as listed.
+    fn departure(&self) -> Eligibility {
+        match self.presence() {
+            Presence::Listed | Presence::Lapsed(_) => Eligibility::Regular,
+            leaving => leaving.eligibility(None, tokio::time::Instant::now().into_std()),
+        }
     }
 
     /// Returns the eligibility of the leaf; `recovered_at` is when the catalog last became
@@ -137,9 +167,13 @@
     ///
     /// Returns [`Hold`] if it may not get one now.
     pub(crate) fn admit(&self, rank: u8) -> Result<Pass, Hold> {
+        let departure = self.departure();
+        if departure == Eligibility::Never {
+            return Err(Hold::Leaving);
+        }
         let permit = self.rate_limit.try_acquire(rank);
         let permit = permit.ok_or_else(|| Hold::Limited(self.rate_limit.wait()))?;
-        Ok(Pass { permit, rank })
+        Ok(Pass { permit, rank, departure })
     }
 
     /// Asks again at the moment of sending: what the leaf states may have changed while the request
@@ -149,6 +183,9 @@
     ///
     /// Returns [`Hold`] if the request must not be sent.
     pub(crate) fn confirm(&self, pass: &Pass) -> Result<(), Hold> {
+        if self.departure() != pass.departure {
+            return Err(Hold::Leaving);
+        }
         match self.rate_limit.confirm(pass.permit, pass.rank) {
             true => Ok(()),
             false => Err(Hold::Limited(self.rate_limit.wait())),
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -186,7 +186,10 @@
         deadline: arrival + Duration::from_millis(request.deadline_ms).min(route.timeout),
         sent: Arc::new(SentLeafs::new(request.sent)),
     };
-    Some(query.run().await)
+    let sent = query.sent.clone();
+    let mut reply = query.run().await;
+    delegation::set_leaving(&mut reply, sent.leaving());
+    Some(reply)
 }
 
 /// Refuses a request that has no route yet.
@@ -296,18 +299,21 @@
             version: self.active.version(),
             sent: self.sent.by_service(),
         };
-        let (peer, reply) = match delegator.run(request, self.route.idempotent, self.deadline).await
-        {
-            delegation::Outcome::Answered(peer, reply) => (peer, reply),
-            delegation::Outcome::Declined => return None,
-            delegation::Outcome::Lost => {
-                let refusal = match Instant::now() < self.deadline {
-                    true => Refusal::Lost,
-                    false => Refusal::TimedOut,
-                };
-                return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
-            }
-        };
+        let (peer, mut reply) =
+            match delegator.run(request, self.route.idempotent, self.deadline).await {
+                delegation::Outcome::Answered(peer, reply) => (peer, reply),
+                delegation::Outcome::Declined => return None,
+                delegation::Outcome::Lost => {
+                    let refusal = match Instant::now() < self.deadline {
+                        true => Refusal::Lost,
+                        false => Refusal::TimedOut,
+                    };
+                    return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
+                }
+            };
+        for key in delegation::take_leaving(&mut reply) {
+            self.gateway.directory().mark_leaving(&key, Instant::now().into_std());
+        }
         let status = reply.status();
         event!(
             Event::RequestDelegated,
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -11,6 +11,7 @@
 
 use crate::catalog::LeafId;
 use crate::leaf::Leaf;
+use crate::leaf::LeafKey;
 
 /// Ids of leafs by service.
 pub type LeafsByService = BTreeMap<SmolStr, BTreeSet<LeafId>>;
@@ -40,6 +41,12 @@
         self.lock().retain(|sent| !Arc::ptr_eq(sent, leaf));
     }
 
+    /// Returns the leafs that this instance has sent the request to and that leave.
+    pub(crate) fn leaving(&self) -> Vec<LeafKey> {
+        let leaving = |leaf: &&Arc<Leaf>| leaf.leaving_since().is_some();
+        self.lock().iter().filter(leaving).map(|leaf| leaf.key()).collect()
+    }
+
     /// Returns whether no leaf has run the request or will run it.
     pub fn is_empty(&self) -> bool {
         self.before.is_empty() && self.lock().is_empty()
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -41,6 +41,8 @@
 const SERVED_MIN: f64 = 0.95;
 /// Timeout of the routes, longer than the time after which [`eventually`] fails.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which an instance no longer avoids a leaf because of failures in a cut.
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 const CUTS: [State; 3] = [State::Hang, State::Reset, State::RefuseNew];
 
 /// Instances that each reach the leafs over links of their own. Each has a failure domain of its own,
@@ -156,6 +158,33 @@
     served as f64 / late.len() as f64
 }
 
+/// Guards against requests to a leaf that said that it leaves in an answer that this instance passed
+/// on for another one, before it reached the leaf again itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaf_that_leaves_is_known_from_the_answer_of_a_helper() {
+    let tier = Tier::start().await;
+    tier.cut(0, State::Hang);
+    let leaving = tier.leafs.iter().find(|leaf| leaf.id() == "db-0").unwrap();
+    leaving.set_leaving(Some("1"));
+    let mut sends = 0;
+    while leaving.arrivals().is_empty() {
+        tier.send(&[0], "/read/a", &format!("cut-{sends}-"), Duration::from_millis(200)).await;
+        sends += 1;
+        assert!(sends < 40, "no request reached the leaf");
+    }
+    tier.cut(0, State::Open);
+    let reachability = tier.instances[0].gateway().reachability();
+    eventually("reaching leafs again", || !reachability.is_cut_off()).await;
+    // The other leaf is slower, so that this one would be chosen.
+    let other = tier.leafs.iter().find(|leaf| leaf.id() == "db-1").unwrap();
+    other.set_reaction(Reaction::Answer(vec![b'a'; 16], Duration::from_millis(150)));
+    sleep(FAILURE_MEMORY).await;
+    let before = leaving.arrivals().len();
+    let results = tier.send(&[0], "/read/b", "after-", Duration::from_secs(1)).await;
+    assert!(results.iter().all(|(_, _, status)| *status == 200));
+    assert_eq!(leaving.arrivals().len(), before);
+}
+
 /// Guards against callers of instances without leafs that are hardly served, although another
 /// instance reaches the leafs: two of three instances are cut off, in each manner.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -11,14 +11,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
 pub enum Hold {
+    /// The leaf leaves.
+    Leaving,
     /// The limit that the leaf states is used up; it may take a request after this time.
     Limited(Duration),
 }
 
 impl Hold {
-    /// Returns the time until the leaf may take a request.
+    /// Returns the time until the leaf may take a request, or zero if it will not take one again.
     pub fn wait(self) -> Duration {
         match self {
+            Self::Leaving => Duration::ZERO,
             Self::Limited(wait) => wait,
         }
     }
--- a/crates/policy/src/presence.rs
+++ b/crates/policy/src/presence.rs
@@ -16,6 +16,11 @@
 /// their entries within about 2 s.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
 
+/// Time that a leaf stays eligible as a last resort after it said in an answer that it leaves. Its
+/// service may have no other leaf while the catalog is away. With the time that a request waits to
+/// be sent it must be shorter than the time after which a leaf that leaves must get no new requests.
+const LEAVING_GRACE: Duration = Duration::from_millis(1_500);
+
 /// Eligibility of a leaf for requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -36,6 +41,8 @@
     Listed,
     /// The entry is marked as draining: the leaf is shutting down.
     Draining,
+    /// The leaf said in an answer at this time that it leaves, whatever its entry says.
+    Leaving(Instant),
     /// The entry was removed at this time without having been marked as draining.
     Lapsed(Instant),
 }
@@ -44,11 +51,15 @@
     /// Returns the eligibility of the leaf; `recovered_at` is when the catalog last became
     /// available again.
     pub fn eligibility(self, recovered_at: Option<Instant>, now: Instant) -> Eligibility {
-        let Self::Lapsed(at) = self else {
-            return if self == Self::Listed { Eligibility::Regular } else { Eligibility::Never };
+        let until = match self {
+            Self::Listed => return Eligibility::Regular,
+            Self::Draining => return Eligibility::Never,
+            Self::Leaving(at) => at + LEAVING_GRACE,
+            Self::Lapsed(at) => {
+                let after_recovery = recovered_at.map(|recovered_at| recovered_at + RECOVERY_GRACE);
+                (at + LAPSED_GRACE).max(after_recovery.unwrap_or(at))
+            }
         };
-        let after_recovery = recovered_at.map(|recovered_at| recovered_at + RECOVERY_GRACE);
-        let until = (at + LAPSED_GRACE).max(after_recovery.unwrap_or(at));
         if now < until { Eligibility::LastResort } else { Eligibility::Never }
     }
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -149,6 +149,8 @@
     crash: Option<Crash>,
     crashes: u64,
     rate_limit: Option<String>,
+    leaving: Option<String>,
+    arrivals: Vec<Instant>,
 }
 
 /// Parts that the tasks of a server share.
@@ -217,6 +219,8 @@
             crash: None,
             crashes: 0,
             rate_limit: None,
+            leaving: None,
+            arrivals: Vec::new(),
         };
         let state = Mutex::new(state);
         let shared = Arc::new(Shared { id: id.into(), names, state, crashed: Notify::new() });
@@ -245,6 +249,17 @@
         lock(&self.shared.state).rate_limit = limit.map(str::to_owned);
     }
 
+    /// Sets the value by which the responses say that the server leaves; several values, separated
+    /// by `|`, become several headers.
+    pub fn set_leaving(&self, value: Option<&str>) {
+        lock(&self.shared.state).leaving = value.map(str::to_owned);
+    }
+
+    /// Returns the times at which requests for this server arrived, those that it rejected included.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.shared.state).arrivals.clone()
+    }
+
     /// Returns the requests that the server has run, in the order of their arrival.
     pub fn executed(&self) -> Vec<Request> {
         lock(&self.shared.state).executed.clone()
@@ -337,7 +352,11 @@
         let limits = limit.iter().flat_map(|limit| limit.split('|'));
         let limits: String =
             limits.map(|limit| format!("{}: {limit}\r\n", names.rate_limit)).collect();
-        let matching = headers(names, id, &request_id) + &limits;
+        let leaving = lock(state).leaving.clone();
+        let leaving = leaving.iter().flat_map(|leaving| leaving.split('|'));
+        let leaving: String =
+            leaving.map(|value| format!("{}: {value}\r\n", names.leaving)).collect();
+        let matching = headers(names, id, &request_id) + &limits + &leaving;
         let mismatched = headers(names, id, "another");
         let not_run = format!("{matching}{}: 1\r\n", names.not_run);
         let expected = request.headers.get(names.expected_leaf.as_str());
@@ -346,6 +365,7 @@
             stream.write_all(&response(421, b"", "")).await?;
             continue;
         }
+        lock(state).arrivals.push(request.received_at);
         if let Reaction::Reject(status) = reaction {
             stream.write_all(&response(status, b"", &not_run)).await?;
             continue;
