Give leafs the rest that they ask for

Now this instance sends it nothing until the end: resting leafs are not chosen, and a request that waits for a connection asks again before it is sent. A rejection with a rest is no failure of the leaf. While all leafs of a service rest, requests are refused at once with the time of the first return, and gathered requests leave such shards out as far as the coverage allows.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -96,6 +96,10 @@
     LeafLeaving,
     /// A header of a leaf has a value that is not defined.
     LeafHeaderInvalid,
+    /// A leaf asks for rest.
+    LeafRests,
+    /// A leaf takes requests again after its rest.
+    LeafRested,
     /// The instance received newer documents from a peer.
     PeerDocuments,
     /// The process settings were reloaded.
@@ -144,6 +148,8 @@
             Self::LeafsReachable => "JC0709",
             Self::LeafLeaving => "JC0710",
             Self::LeafHeaderInvalid => "JC0711",
+            Self::LeafRests => "JC0712",
+            Self::LeafRested => "JC0713",
             Self::PeerDocuments => "JC0801",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
@@ -209,6 +215,8 @@
             Self::LeafsReachable => "instance reaches leafs again",
             Self::LeafLeaving => "leaf says that it leaves",
             Self::LeafHeaderInvalid => "header of a leaf is not valid",
+            Self::LeafRests => "leaf asks for rest",
+            Self::LeafRested => "leaf takes requests again after its rest",
             Self::PeerDocuments => "newer documents were received from a peer",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -94,7 +94,14 @@
             let entry = leaf.entry();
             let state = <&str>::from(leaf.presence()).into();
             let stats = leaf.stats();
-            LeafStatus { entry, state, in_flight: stats.in_flight(), failures: stats.failures() }
+            let rest = leaf.rest().wait(Instant::now());
+            LeafStatus {
+                entry,
+                state,
+                in_flight: stats.in_flight(),
+                failures: stats.failures(),
+                rest_ms: u64::try_from(rest.as_millis()).unwrap_or(u64::MAX),
+            }
         });
         let delay = self.gateway.shedder().delay().as_micros();
         Dump {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -29,6 +29,8 @@
 use jaycrank_policy::quarantine;
 use jaycrank_policy::quarantine::Fingerprint;
 use jaycrank_policy::rate_limit;
+use jaycrank_policy::rest;
+use jaycrank_policy::rest::Ended;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
@@ -44,6 +46,7 @@
 use crate::pool::Lease;
 use crate::rate_limit::RateLimits;
 use crate::reachability::Reachability;
+use crate::rest::Rests;
 use crate::round_trip::Estimator;
 use crate::sent::SentLeafs;
 use crate::witness::Verdict;
@@ -201,6 +204,8 @@
     pub reachability: Arc<Reachability>,
     /// Limits that leafs state.
     pub rate_limits: Arc<RateLimits>,
+    /// Rests that leafs ask for.
+    pub rests: Arc<Rests>,
     /// Memory that the bodies of answers take.
     pub answer_memory: Arc<AnswerMemory>,
 }
@@ -308,6 +313,7 @@
     }
     record_limit(leaf, context, &head, sent);
     record_leaving(leaf, context, &head);
+    let rests = record_rest(leaf, context, &head);
     let body = match read_body(body, &context.answer_memory).await {
         Ok(body) => body,
         Err(BodyError::TooLarge) => {
@@ -334,6 +340,12 @@
     crate::header::strip_hop_by_hop(&mut headers);
     let refused =
         head.status == StatusCode::MISDIRECTED_REQUEST || headers.contains_key(&names.not_run);
+    if rests {
+        // The leaf is not broken.
+        drop(observation);
+        let detail = format_smolstr!("status {}, asks for rest", head.status.as_u16());
+        return (if refused { Outcome::NotRun(detail) } else { Outcome::Lost(detail) }, None);
+    }
     if refused {
         observation.fail();
         return (Outcome::NotRun(format_smolstr!("status {}", head.status.as_u16())), None);
@@ -410,6 +422,38 @@
     }
 }
 
+/// Records the rest that the leaf asks for, or how it answered a trial; returns whether it asks for
+/// rest.
+fn record_rest(leaf: &Leaf, context: &Context, head: &response::Parts) -> bool {
+    if head.status != StatusCode::SERVICE_UNAVAILABLE {
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            context.pass.record(Ended::Answered);
+        }
+        return false;
+    }
+    context.pass.record(Ended::Rejected);
+    let mut values = head.headers.get_all(header::RETRY_AFTER).iter();
+    let Some(value) = values.next() else { return false };
+    let time = value.to_str().ok().and_then(rest::parse);
+    match time.filter(|_| values.all(|other| other == value)) {
+        Some(time) if time.is_zero() => false,
+        Some(time) => {
+            context.rests.record(leaf, time, now());
+            true
+        }
+        None => {
+            event!(
+                Event::LeafHeaderInvalid,
+                leaf = leaf.with_entry(|entry| entry.id.clone()),
+                service = leaf.with_entry(|entry| entry.service.clone()),
+                header = header::RETRY_AFTER,
+                value = String::from_utf8_lossy(value.as_bytes())
+            );
+            false
+        }
+    }
+}
+
 /// Returns the outcome of a request whose connection broke.
 async fn broken_or_crashed(leaf: &Leaf, lease: Lease, detail: SmolStr) -> Outcome {
     match leaf.pool().examine(lease).await {
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -49,6 +49,9 @@
 /// Delay before a request is retried at leafs that rejected it or could not be reached.
 const REJECTED_RETRY_DELAY: Duration = Duration::from_millis(25);
 
+/// Longest time for which a request waits for the end of the rest of all leafs of its service.
+const REST_WAIT_MAX: Duration = Duration::from_millis(250);
+
 /// Request to one service, with the limits on its execution.
 #[derive(Clone, Debug)]
 pub struct Job {
@@ -81,6 +84,8 @@
     NoLeaf,
     /// The leafs that were chosen leave.
     Leaving,
+    /// The leafs of the service rest.
+    Resting,
     /// The leafs of the service take no more requests by the limits that they state.
     Limited,
     /// All leafs that the request was sent to rejected it.
@@ -101,6 +106,7 @@
     fn from(hold: Hold) -> Self {
         match hold {
             Hold::Leaving => Self::Leaving,
+            Hold::Resting(_) => Self::Resting,
             Hold::Limited(_) => Self::Limited,
         }
     }
@@ -453,6 +459,14 @@
                 }
                 return None;
             }
+            let wait = self.rest_wait();
+            if wait > REST_WAIT_MAX {
+                if !self.failure.may_have_run {
+                    self.failure.reason = Reason::Resting;
+                    self.failure.retry_after = wait;
+                }
+                return None;
+            }
             tokio::time::sleep(REJECTED_RETRY_DELAY).await;
             self.attempts.clear_rejections();
             if let Some(at) = self.send("rejected") {
@@ -465,6 +479,16 @@
         None
     }
 
+    /// Returns the time until a leaf of the service ends its rest, or zero if one does not rest.
+    fn rest_wait(&self) -> Duration {
+        let now = Instant::now().into_std();
+        if self.gateway.rests().is_empty(now) {
+            return Duration::ZERO;
+        }
+        let leafs = self.gateway.directory().usable(&self.job.service, now);
+        leafs.iter().map(|leaf| leaf.rest().wait(now)).min().unwrap_or_default()
+    }
+
     /// Returns whether the service has no usable leaf left.
     fn has_no_leaf(&self) -> bool {
         let now = Instant::now().into_std();
@@ -510,6 +534,7 @@
             sent: self.job.sent.clone(),
             reachability: self.gateway.reachability().clone(),
             rate_limits: self.gateway.rate_limits().clone(),
+            rests: self.gateway.rests().clone(),
             answer_memory: self.gateway.answer_memory().clone(),
         };
         let completion = send_request(leaf.clone(), self.job.outgoing.clone(), context);
@@ -541,6 +566,12 @@
         } else if limited.is_some() && self.failure.reason == Reason::NoLeaf {
             self.failure.reason = Reason::Limited;
         }
+        let wait =
+            if chosen.is_none() && limited.is_none() { self.rest_wait() } else { Duration::ZERO };
+        if !wait.is_zero() && !self.failure.may_have_run {
+            self.failure.reason = Reason::Resting;
+            self.failure.retry_after = wait;
+        }
         self.limited = limited;
         chosen
     }
@@ -562,7 +593,7 @@
         for leaf in usable {
             let (id, domain, slots) = leaf
                 .with_entry(|entry| (entry.id.clone(), entry.failure_domain.clone(), entry.slots));
-            if !allow(&leaf, &id) {
+            if !allow(&leaf, &id) || !leaf.rest().wait(now).is_zero() {
                 continue;
             }
             let round_trip = self.gateway.round_trips().estimate(&domain);
@@ -589,7 +620,7 @@
                     let best_other = times.into_iter().min();
                     return Some((leaf, Expected { round_trip, best_other }, pass));
                 }
-                Err(Hold::Leaving) => {}
+                Err(Hold::Leaving | Hold::Resting(_)) => {}
                 Err(Hold::Limited(_)) => _ = limited.get_or_insert(leaf),
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::rate_limit::RateLimits;
 use crate::reachability::Reachability;
+use crate::rest::Rests;
 use crate::round_trip::Estimator;
 
 /// Most suspects that run isolated at a time. They run at different leafs where possible.
@@ -222,6 +223,7 @@
     quotas: Quotas,
     throttles: Throttles,
     rate_limits: Arc<RateLimits>,
+    rests: Arc<Rests>,
     reachability: Arc<Reachability>,
     caller_round_trip: Duration,
     service_times: Mutex<BTreeMap<SmolStr, ServiceTime>>,
@@ -247,6 +249,7 @@
             quotas: Quotas::new(options),
             throttles: Throttles::default(),
             rate_limits: Arc::default(),
+            rests: Arc::default(),
             reachability: Arc::default(),
             caller_round_trip: options.caller_round_trip,
             service_times: Mutex::default(),
@@ -299,6 +302,11 @@
         self.caller_round_trip
     }
 
+    /// Returns the rests that leafs ask for.
+    pub(crate) fn rests(&self) -> &Arc<Rests> {
+        &self.rests
+    }
+
     /// Returns the load shedding of this process.
     pub fn shedder(&self) -> &Shedder {
         &self.shedder
--- a/crates/gateway/src/gather.rs
+++ b/crates/gateway/src/gather.rs
@@ -1,6 +1,7 @@
 //! Shards of a gathered request: which ones it asks, which ones have answered or failed.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::header::HeaderValue;
@@ -13,6 +14,7 @@
 use crate::fetch::Job;
 use crate::fetch::Reason;
 use crate::gateway::Gateway;
+use crate::leaf::Leaf;
 use crate::rate_limit::TOKEN_WAIT_MAX;
 
 /// Returns the names of the services whose part is missing, separated by commas. A part that can't
@@ -29,7 +31,7 @@
     answer.status.is_success().then_some((answer, signature))
 }
 
-/// Chooses the shards that a query leaves out, by position: those without a token for a long time, and
+/// Chooses the shards that a query leaves out, by position: those whose leafs all rest or have no token for a long time, and
 /// as far as the coverage allows also overloaded ones.
 ///
 /// # Errors
@@ -45,7 +47,7 @@
     let meets_coverage =
         |left_out: usize| timing::meets_coverage(total - left_out, total, coverage_min);
     let throttled = gateway.throttles().leave_out(services, coverage_min);
-    if gateway.rate_limits().is_empty() {
+    if gateway.rate_limits().is_empty() && gateway.rests().is_empty(Instant::now().into_std()) {
         return Ok(throttled);
     }
     let (exhausted, next) = exhausted(gateway, services, answer_at);
@@ -56,8 +58,8 @@
     Ok(if meets_coverage(all.len()) { all.into_iter().collect() } else { exhausted })
 }
 
-/// Returns the positions of the services whose leafs take no request before `answer_at` by the limits
-/// that they state, and the time until one of them does.
+/// Returns the positions of the services whose leafs take no request before `answer_at`, because they
+/// rest or by the limits that they state, and the time until one of them does.
 fn exhausted(
     gateway: &Gateway,
     services: &[SmolStr],
@@ -67,7 +69,9 @@
     let wait_max = TOKEN_WAIT_MAX.min(answer_at.saturating_duration_since(now));
     let token_wait = |service: &SmolStr| {
         let leafs = gateway.directory().usable(service, now.into_std());
-        leafs.iter().map(|leaf| leaf.rate_limit().wait()).min()
+        let wait =
+            |leaf: &Arc<Leaf>| leaf.rate_limit().wait().max(leaf.rest().wait(now.into_std()));
+        leafs.iter().map(wait).min()
     };
     let waits = services.iter().enumerate().filter_map(|(index, service)| {
         let wait = token_wait(service)?;
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -16,6 +16,7 @@
 use jaycrank_policy::presence::Eligibility;
 use jaycrank_policy::presence::Presence;
 use jaycrank_policy::rate_limit::Permit;
+use jaycrank_policy::rest::Ended;
 
 use crate::catalog::Entry;
 use crate::catalog::LeafId;
@@ -23,6 +24,8 @@
 use crate::catalog::State;
 use crate::pool::Pool;
 use crate::rate_limit::LeafLimit;
+use crate::rest::LeafRest;
+use crate::rest::Trial;
 
 /// Incarnation of a leaf: its id and the Unix millisecond of its start.
 pub(crate) type LeafKey = (LeafId, u64);
@@ -41,6 +44,7 @@
     /// Number of isolated runs at the leaf.
     isolated_runs: AtomicUsize,
     rate_limit: LeafLimit,
+    rest: LeafRest,
 }
 
 /// Permission to send one request to a leaf.
@@ -50,6 +54,17 @@
     rank: u8,
     /// Eligibility when the leaf was chosen.
     departure: Eligibility,
+    /// Trial of a leaf that returns from its rest.
+    trial: Option<Trial>,
+}
+
+impl Pass {
+    /// Records how the leaf answered the request.
+    pub(crate) fn record(&self, ended: Ended) {
+        if let Some(trial) = &self.trial {
+            trial.record(ended);
+        }
+    }
 }
 
 /// Mark of a leaf at which a suspect runs isolated, until it is dropped.
@@ -83,6 +98,7 @@
             entry: Mutex::new(entry),
             isolated_runs: AtomicUsize::new(0),
             rate_limit: LeafLimit::default(),
+            rest: LeafRest::default(),
         }
     }
 
@@ -141,7 +157,7 @@
     fn departure(&self) -> Eligibility {
         match self.presence() {
             Presence::Listed | Presence::Lapsed(_) => Eligibility::Regular,
-            leaving => leaving.eligibility(None, tokio::time::Instant::now().into_std()),
+            leaving => leaving.eligibility(None, now()),
         }
     }
 
@@ -166,14 +182,16 @@
     /// # Errors
     ///
     /// Returns [`Hold`] if it may not get one now.
-    pub(crate) fn admit(&self, rank: u8) -> Result<Pass, Hold> {
+    pub(crate) fn admit(self: &Arc<Self>, rank: u8) -> Result<Pass, Hold> {
         let departure = self.departure();
         if departure == Eligibility::Never {
             return Err(Hold::Leaving);
         }
+        let trial = self.rest.admit(now()).map_err(Hold::Resting)?;
+        let trial = trial.map(|trial| Trial::new(self, trial));
         let permit = self.rate_limit.try_acquire(rank);
         let permit = permit.ok_or_else(|| Hold::Limited(self.rate_limit.wait()))?;
-        Ok(Pass { permit, rank, departure })
+        Ok(Pass { permit, rank, departure, trial })
     }
 
     /// Asks again at the moment of sending: what the leaf states may have changed while the request
@@ -186,6 +204,9 @@
         if self.departure() != pass.departure {
             return Err(Hold::Leaving);
         }
+        if !self.rest.allows(pass.trial.as_ref().map(Trial::id)) {
+            return Err(Hold::Resting(self.rest.wait(now())));
+        }
         match self.rate_limit.confirm(pass.permit, pass.rank) {
             true => Ok(()),
             false => Err(Hold::Limited(self.rate_limit.wait())),
@@ -197,6 +218,11 @@
         &self.rate_limit
     }
 
+    /// Returns the rest that the leaf asks for.
+    pub fn rest(&self) -> &LeafRest {
+        &self.rest
+    }
+
     /// Returns the incarnation of the leaf.
     pub(crate) fn key(&self) -> LeafKey {
         self.with_entry(|entry| (entry.id.clone(), entry.started_ms))
@@ -215,6 +241,10 @@
     }
 }
 
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod relay;
 pub mod report;
 pub mod request;
+pub mod rest;
 pub mod round_trip;
 pub mod run;
 pub mod sent;
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -77,12 +77,15 @@
 pub struct LeafStatus {
     /// Entry of the leaf.
     pub entry: Entry,
-    /// `listed`, `draining` or `lapsed`.
+    /// `listed`, `draining`, `leaving` or `lapsed`.
     pub state: SmolStr,
     /// Requests of the instance that are in flight at the leaf.
     pub in_flight: usize,
     /// Consecutive failures.
     pub failures: u32,
+    /// Milliseconds until the end of the rest that the leaf asked for.
+    #[serde(default)]
+    pub rest_ms: u64,
 }
 
 /// State dump of an instance, or the reason why it could not be fetched.
@@ -166,6 +169,9 @@
         if leaf.failures >= FAILING_FAILURES_MIN {
             *counts.entry("failing").or_default() += 1;
         }
+        if leaf.rest_ms > 0 {
+            *counts.entry("resting").or_default() += 1;
+        }
     }
     if limited > 0 {
         counts.insert("limited", limited);
--- a/crates/gateway/tests/report.rs
+++ b/crates/gateway/tests/report.rs
@@ -43,6 +43,7 @@
         state: (*state).into(),
         in_flight: 2,
         failures: *failures,
+        rest_ms: 0,
     });
     Dump {
         name: name.into(),
--- a/crates/policy/src/hold.rs
+++ b/crates/policy/src/hold.rs
@@ -13,6 +13,8 @@
 pub enum Hold {
     /// The leaf leaves.
     Leaving,
+    /// The leaf asked for rest, or returns from it; it may take a request after this time.
+    Resting(Duration),
     /// The limit that the leaf states is used up; it may take a request after this time.
     Limited(Duration),
 }
@@ -22,7 +24,7 @@
     pub fn wait(self) -> Duration {
         match self {
             Self::Leaving => Duration::ZERO,
-            Self::Limited(wait) => wait,
+            Self::Resting(wait) | Self::Limited(wait) => wait,
         }
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,7 +16,7 @@
 //! considers present, and [`connections`] limits this instance's connections to it. [`timing`] sets
 //! the hedge delay and the time from which a partial answer is sent, [`attempts`] and
 //! [`extra_requests`] limit the retries and hedges, [`rate_limit`] the requests to a leaf that states
-//! a limit, [`hold`] names why a leaf may not get a request now, [`reachability`] tells whether all leafs are out of reach, [`shard_throttle`] leaves out shards with too
+//! a limit, [`rest`] keeps the rest that a leaf asks for, [`hold`] names why a leaf may not get a request now, [`reachability`] tells whether all leafs are out of reach, [`shard_throttle`] leaves out shards with too
 //! little capacity, and [`merge`] combines the answers.
 //!
 //! Code that depends on the time takes a [`std::time::Instant`] as an argument or reads tokio's
@@ -48,6 +48,7 @@
 pub mod recent_success;
 pub mod rendezvous;
 pub mod replica;
+pub mod rest;
 pub mod route;
 pub mod shard_throttle;
 pub mod share;
