--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -169,6 +169,7 @@
             | Self::LeafInvalid
             | Self::LeafCrashed
             | Self::LeafLimitInvalid
+            | Self::LeafHeaderInvalid
             | Self::LeafsUnreachable
             | Self::RequestQuarantined
             | Self::ReloadFailed => Level::Warn,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,7 +65,9 @@
             .build();
         let held_back = meter
             .u64_counter("jaycrank_held_back")
-            .with_description("Requests not sent to a leaf because of the limit that it states or its rest")
+            .with_description(
+                "Requests not sent to a leaf because of the limit that it states or its rest",
+            )
             .build();
         let latency = meter
             .f64_histogram("jaycrank_request")
