--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -459,12 +459,7 @@
                 }
                 return None;
             }
-            let wait = self.rest_wait();
-            if wait > REST_WAIT_MAX {
-                if !self.failure.may_have_run {
-                    self.failure.reason = Reason::Resting;
-                    self.failure.retry_after = wait;
-                }
+            if self.rest_wait().is_some_and(|wait| wait > REST_WAIT_MAX) {
                 return None;
             }
             tokio::time::sleep(REJECTED_RETRY_DELAY).await;
@@ -479,14 +474,13 @@
         None
     }
 
-    /// Returns the time until a leaf of the service ends its rest, or zero if one does not rest.
-    fn rest_wait(&self) -> Duration {
+    /// Returns the time until the first leaf of the service ends its rest, zero if one returns from
+    /// it, or `None` if one takes requests or there is none.
+    fn rest_wait(&self) -> Option<Duration> {
         let now = Instant::now().into_std();
-        if self.gateway.rests().is_empty(now) {
-            return Duration::ZERO;
-        }
         let leafs = self.gateway.directory().usable(&self.job.service, now);
-        leafs.iter().map(|leaf| leaf.rest().wait(now)).min().unwrap_or_default()
+        let all_rest = leafs.iter().all(|leaf| leaf.rest().is_active());
+        leafs.iter().map(|leaf| leaf.rest().wait(now)).min().filter(|_| all_rest)
     }
 
     /// Returns whether the service has no usable leaf left.
@@ -566,9 +560,11 @@
         } else if limited.is_some() && self.failure.reason == Reason::NoLeaf {
             self.failure.reason = Reason::Limited;
         }
-        let wait =
-            if chosen.is_none() && limited.is_none() { self.rest_wait() } else { Duration::ZERO };
-        if !wait.is_zero() && !self.failure.may_have_run {
+        if chosen.is_none()
+            && limited.is_none()
+            && !self.failure.may_have_run
+            && let Some(wait) = self.rest_wait()
+        {
             self.failure.reason = Reason::Resting;
             self.failure.retry_after = wait;
         }
--- a/crates/gateway/src/rest.rs
+++ b/crates/gateway/src/rest.rs
@@ -46,7 +46,8 @@
         !self.is_active() || self.lock().allows(trial)
     }
 
-    fn is_active(&self) -> bool {
+    /// Returns whether the leaf rests or returns from its rest.
+    pub(crate) fn is_active(&self) -> bool {
         self.active.load(Ordering::Relaxed)
     }
 
--- a/crates/gateway/tests/rest.rs
+++ b/crates/gateway/tests/rest.rs
@@ -175,6 +175,24 @@
     assert_eq!(status, 200, "a new incarnation does not rest");
 }
 
+/// Guards against refusing requests while the only leaf of a service answers its first trials.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_wait_for_the_trials_of_the_only_leaf() {
+    let (instances, _catalog, leafs) = tier(1, 1).await;
+    leafs[0].set_retry_after(Some("0.5"));
+    leafs[0].set_reaction(Reaction::Reject(503));
+    send(&instances, "/read/a", Duration::from_millis(50)).await;
+    leafs[0].set_reaction(Reaction::Answer(vec![b'a'; 16], Duration::from_millis(20)));
+    let leaf = instances[0].gateway().directory().leaf(&"leaf-0".into()).unwrap();
+    common::eventually("the end of the rest", || leaf.rest().wait(Instant::now()).is_zero()).await;
+    let mut calls = JoinSet::new();
+    for index in 0..12 {
+        let (address, request) = (instances[0].address(), get("/read/b", &format!("b{index}")));
+        calls.spawn(async move { call(address, &request).await.status });
+    }
+    assert_eq!(calls.join_all().await, [200; 12]);
+}
+
 /// Guards against a gathered request that waits for a shard that rests, or that is sent to the others
 /// although too few shards are left.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
