--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -13,13 +13,8 @@
 use jaycrank_policy::attempts::Attempts;
 use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement;
-use jaycrank_policy::quarantine::Decision;
-use jaycrank_policy::quarantine::Isolation;
-use jaycrank_policy::quarantine::Run;
-use jaycrank_policy::quarantine::Turn;
 use jaycrank_policy::timing;
 use smol_str::SmolStr;
-use smol_str::format_smolstr;
 use strum::IntoStaticStr;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -34,13 +29,12 @@
 use crate::attempt::send_request;
 use crate::catalog::LeafId;
 use crate::gateway::Gateway;
-use crate::leaf::IsolatedLeaf;
 use crate::leaf::Leaf;
 use crate::leaf::Pass;
-use crate::quarantine;
 use crate::rate_limit;
 use crate::rate_limit::Waiting;
 use crate::sent::SentLeafs;
+use crate::suspicion::Suspicion;
 
 /// Time for which a hedged request stays open at the slower leaf after the other one has answered.
 /// A leaf that pauses briefly still answers in time, so its connection can be reused. The
@@ -150,12 +144,7 @@
     /// Leafs with a request in flight.
     pending: Vec<Arc<Leaf>>,
     started: Instant,
-    /// Whether a leaf crashed with the request in flight and it has not run isolated since.
-    suspected: bool,
-    /// Permit of the isolated run.
-    isolation: Option<Isolation>,
-    /// Marks of the leafs of the isolated run.
-    isolated_leafs: Vec<IsolatedLeaf>,
+    suspicion: Suspicion<'a>,
     /// Leaf that the request was not sent to because of its limit.
     limited: Option<Arc<Leaf>>,
     /// Failure to return unless a leaf answers.
@@ -185,9 +174,7 @@
             .with_failed(sent_before.into_iter().flatten().cloned()),
         pending: Vec::new(),
         started: Instant::now(),
-        suspected: false,
-        isolation: None,
-        isolated_leafs: Vec::new(),
+        suspicion: Suspicion::new(gateway, job),
         limited: None,
         failure,
     };
@@ -221,7 +208,7 @@
                     }
                     self.pending.retain(|pending| !Arc::ptr_eq(pending, &leaf));
                     if matches!(outcome, Outcome::Answered(_)) {
-                        self.clear_suspicion();
+                        self.suspicion.clear();
                     }
                     match outcome {
                         Outcome::Answered(answer) if !answer.status.is_server_error() => {
@@ -265,11 +252,11 @@
             Outcome::NotSent(detail) => (Reason::Unreachable, detail, false),
             Outcome::Lost(detail) => (Reason::Lost, detail, true),
             Outcome::Broken(detail) => {
-                self.record_loss(leaf);
+                self.suspicion.record_loss(leaf);
                 (Reason::Lost, detail, true)
             }
             Outcome::Crashed(detail) => {
-                self.record_crash(leaf);
+                self.suspicion.record_crash(leaf);
                 (Reason::Crashed, detail, true)
             }
         };
@@ -301,92 +288,21 @@
         );
     }
 
-    /// Records that a leaf ended with the request in flight, which makes the request a suspect
-    /// unless it has just succeeded.
-    fn record_crash(&mut self, leaf: &Leaf) {
-        let fingerprint = self.job.outgoing.fingerprint();
-        let isolated = self.is_isolated();
-        let suspected = isolated || !self.gateway.has_just_succeeded(&self.job.outgoing);
-        let id = leaf.with_entry(|entry| entry.id.clone());
-        event!(
-            Event::LeafCrashed,
-            request = self.job.outgoing.id,
-            service = self.job.service,
-            leaf = id,
-            fingerprint = format_smolstr!("{fingerprint:016x}"),
-            caller = self.job.outgoing.caller,
-            target = format_smolstr!("{:016x}", self.job.outgoing.target_hash()),
-            body = format_smolstr!("{:016x}", self.job.outgoing.body_hash()),
-            isolated = isolated,
-            suspected = suspected
-        );
-        self.gateway.metrics().record_leaf_crash(isolated);
-        if !suspected {
-            return;
-        }
-        self.suspected = true;
-        let quarantine = self.gateway.quarantine();
-        let now = Instant::now().into_std();
-        quarantine.record_incident(&id, &[fingerprint], isolated.then_some(fingerprint), now);
-    }
-
-    /// Records that the connection to a leaf broke without a sign whether the leaf ended, which may
-    /// make the request a suspect unless it has just succeeded.
-    fn record_loss(&mut self, leaf: &Leaf) {
-        let run = match (self.is_isolated(), self.job.idempotent) {
-            (true, _) => Run::Isolated,
-            (false, true) => Run::Idempotent,
-            (false, false) => Run::Once,
-        };
-        if run != Run::Isolated && self.gateway.has_just_succeeded(&self.job.outgoing) {
-            return;
-        }
-        let fingerprint = self.job.outgoing.fingerprint();
-        let id = leaf.with_entry(|entry| entry.id.clone());
-        let (service, now) = (&self.job.service, Instant::now().into_std());
-        let quarantine = self.gateway.quarantine();
-        self.suspected |= quarantine.record_loss(fingerprint, service, &id, run, now);
-    }
-
-    /// Records that the request ran without a crash if it is a suspect.
-    fn clear_suspicion(&mut self) {
-        if self.suspected || self.is_isolated() {
-            let fingerprint = self.job.outgoing.fingerprint();
-            self.gateway.quarantine().record_success(fingerprint, Instant::now().into_std());
-            self.suspected = false;
-        }
-    }
-
-    /// Returns whether the request may run only isolated from now on: a leaf ended with it in flight,
-    /// here, at another shard or at another instance.
-    fn is_suspected(&self) -> bool {
-        let quarantine = self.gateway.quarantine();
-        self.suspected
-            || !self.is_isolated()
-                && !quarantine.is_empty()
-                && quarantine.decide(self.job.outgoing.fingerprint(), Instant::now().into_std())
-                    != Decision::Run
-    }
-
-    fn is_isolated(&self) -> bool {
-        self.job.isolated || self.isolation.is_some()
-    }
-
     /// Returns whether the request may be sent once more. A request that is not idempotent must not
     /// be sent after a leaf may have run it, and a suspect only when it runs isolated.
     fn may_send_again(&self) -> bool {
         let might_run_twice = self.failure.may_have_run && !self.job.idempotent;
-        !might_run_twice && !self.is_suspected() && self.attempts.allows_send()
+        !might_run_twice && !self.suspicion.is_suspected() && self.attempts.allows_send()
     }
 
     fn may_hedge(&self) -> bool {
-        self.job.idempotent && !self.is_isolated() && self.may_send_again()
+        self.job.idempotent && !self.suspicion.is_isolated() && self.may_send_again()
     }
 
     /// Sends the request again when none is in flight; returns the time at which it is hedged, or
     /// `None` if it was not sent.
     async fn resume(&mut self) -> Option<Instant> {
-        if self.is_suspected() {
+        if self.suspicion.is_suspected() {
             self.run_isolated().await
         } else if let Some(leaf) = self.limited.clone() {
             self.wait_for_token(&leaf).await
@@ -431,17 +347,9 @@
 
     /// Runs a request isolated with which a leaf crashed. A second crash is final.
     async fn run_isolated(&mut self) -> Option<Instant> {
-        if !self.job.idempotent || self.is_isolated() {
+        if !self.job.idempotent || !self.suspicion.isolate().await {
             return None;
         }
-        let fingerprint = self.job.outgoing.fingerprint();
-        let deadline = self.job.deadline.min(Instant::now() + quarantine::SUSPECT_WAIT_MAX);
-        match self.gateway.quarantine().isolate(fingerprint, true, deadline).await {
-            Turn::Isolated(isolation) => self.isolation = Some(isolation),
-            Turn::Cleared => {}
-            Turn::Refused { .. } | Turn::TimedOut => return None,
-        }
-        self.suspected = false;
         self.may_send_again().then(|| self.send("crashed")).flatten()
     }
 
@@ -515,9 +423,7 @@
             self.gateway.metrics().record_resend(cause);
         }
         self.attempts.record_send(&id);
-        if self.is_isolated() {
-            self.isolated_leafs.push(IsolatedLeaf::new(&leaf));
-        }
+        self.suspicion.mark(&leaf);
         self.pending.push(leaf.clone());
         let context = Context {
             names: self.gateway.names().clone(),
@@ -547,7 +453,7 @@
     /// goes to a leaf without another one if there is such a leaf, so that a crash has one suspect.
     fn choose(&mut self, now: Instant) -> Option<(Arc<Leaf>, Expected, Pass)> {
         let mut limited = None;
-        let is_free = |leaf: &Leaf| !self.is_isolated() || !leaf.runs_isolated();
+        let is_free = |leaf: &Leaf| !self.suspicion.is_isolated() || !leaf.runs_isolated();
         let is_new = |leaf: &LeafId| self.attempts.allows_new_leaf(leaf);
         let chosen = self
             .choose_among(now, &mut limited, |leaf, id| is_free(leaf) && is_new(id))
