Log a request that is suspected although nothing shows that a leaf ended

JC0705 names a leaf that has ended; a request that was lost at two leafs, or once if it runs only once, became a suspect without a line. JC0508 has the leaf, the fingerprint and whether the run was isolated.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -70,6 +70,8 @@
     RequestQuarantined,
     /// A request was passed to another instance because this one is cut off from all leafs.
     RequestDelegated,
+    /// A request is suspected of crashing leafs, though nothing shows that one ended.
+    RequestSuspected,
     /// A version of the routes is in force.
     RoutesApplied,
     /// A stored version of the routes is invalid; the current one stays in force.
@@ -135,6 +137,7 @@
             Self::RequestAbandoned => "JC0505",
             Self::RequestQuarantined => "JC0506",
             Self::RequestDelegated => "JC0507",
+            Self::RequestSuspected => "JC0508",
             Self::RoutesApplied => "JC0601",
             Self::RoutesInvalid => "JC0602",
             Self::LeafChanged => "JC0701",
@@ -203,6 +206,7 @@
             Self::RequestAbandoned => "caller of the request disconnected",
             Self::RequestQuarantined => "request was refused because it may crash leafs",
             Self::RequestDelegated => "request was passed to another instance",
+            Self::RequestSuspected => "request may crash leafs, without a sign that one ended",
             Self::RoutesApplied => "routes are in force",
             Self::RoutesInvalid => "stored routes are not valid",
             Self::LeafChanged => "entry of a leaf changed",
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -102,7 +102,17 @@
         let id = leaf.with_entry(|entry| entry.id.clone());
         let (service, now) = (&self.job.service, Instant::now().into_std());
         let quarantine = self.gateway.quarantine();
-        self.suspected |= quarantine.record_loss(fingerprint, service, &id, run, now);
+        if quarantine.record_loss(fingerprint, service, &id, run, now) {
+            self.suspected = true;
+            event!(
+                Event::RequestSuspected,
+                request = self.job.outgoing.id,
+                service = service,
+                leaf = id,
+                fingerprint = format_smolstr!("{fingerprint:016x}"),
+                isolated = run == Run::Isolated
+            );
+        }
     }
 
     /// Records that the request ran without a crash if it is a suspect.
