Test that crashes of leafs that listen again at once refuse no innocent request

The test of crashes without a cause had leafs that are down for a time only, where a refused connection shows the end.

--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -311,19 +311,25 @@
 }
 
 /// Leafs crash without a request to blame, each time with the same popular request in flight at
-/// several of them: one leaf, half of them, and all. Guards against refusing that request after
-/// the leafs are back.
+/// several of them: one leaf, half of them, and all, which are down for some time or listen again at
+/// once. Guards against refusing that request after the leafs are back.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_in_flight_at_crashes_without_a_cause_are_not_refused() {
     let tier = Tier::start(&["db"], Manner::Reset).await;
-    for crashed in [1, LEAFS / 2, LEAFS] {
+    let cases = [1, LEAFS / 2, LEAFS].into_iter();
+    for (crashed, downtime) in cases.flat_map(|count| [(count, DOWNTIME), (count, Duration::ZERO)])
+    {
+        for leaf in &tier.leafs {
+            let (target, manner) = ("poison".to_owned(), Manner::Reset);
+            leaf.set_crash(Some(Crash { target, manner, downtime }));
+        }
         for leaf in &tier.leafs {
             leaf.set_reaction(Reaction::Answer(vec![b'a'; 16], Duration::from_millis(200)));
         }
         let mut calls = JoinSet::new();
         for index in 0..INSTANCES * LEAFS {
             let address = tier.address(index % INSTANCES);
-            let request = get("/read/popular", &format!("c{crashed}-{index}"));
+            let request = get("/read/popular", &format!("c{crashed}-{downtime:?}-{index}"));
             calls.spawn(async move { call(address, &request).await.status });
         }
         sleep(Duration::from_millis(100)).await;
@@ -334,7 +340,7 @@
         }
         sleep(DOWNTIME * 2).await;
         let statuses = tier.send("/read/popular", 30, Duration::from_millis(5)).await;
-        assert_eq!(statuses, vec![200; 30], "after {crashed} leafs crashed");
+        assert_eq!(statuses, vec![200; 30], "after {crashed} leafs were down for {downtime:?}");
     }
 }
 
