Spread suspects by bounded gossip, and count messages and bytes by kind and distance

Each crash was reported to up to 128 instances, each exchange sent all suspects, and a query over 36 shards that loses 4 in 10 answers became one by chance.

Change: pushes to four instances of the region and, from one bridge a region, to one instance of each other region, bounded in rate and size for each instance (policy::gossip). A second loss is no evidence while a tenth of the others are lost too; suspects by a first loss are bounded over the fleet. Counters by kind of message and distance in the metrics, the dump, the log (JC0802) and the command 'traffic'.

--- a/crates/event/src/lib.rs
+++ b/crates/event/src/lib.rs
@@ -104,6 +104,8 @@
     LeafRested,
     /// The instance received newer documents from a peer.
     PeerDocuments,
+    /// Messages and bytes since the start, by kind and distance.
+    TrafficCounted,
     /// The process settings were reloaded.
     Reloaded,
     /// The process settings can't be read; the current ones stay in force.
@@ -154,6 +156,7 @@
             Self::LeafRests => "JC0712",
             Self::LeafRested => "JC0713",
             Self::PeerDocuments => "JC0801",
+            Self::TrafficCounted => "JC0802",
             Self::Reloaded => "JC0901",
             Self::ReloadFailed => "JC0902",
         }
@@ -223,6 +226,7 @@
             Self::LeafRests => "leaf asks for rest",
             Self::LeafRested => "leaf takes requests again after its rest",
             Self::PeerDocuments => "newer documents were received from a peer",
+            Self::TrafficCounted => "messages and bytes since the start",
             Self::Reloaded => "process settings were reloaded",
             Self::ReloadFailed => "process settings can't be read",
         }
--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -116,6 +116,7 @@
             leafs: leafs.collect(),
             quarantine: self.quarantine(),
             limits: self.gateway.rate_limits().statuses(),
+            traffic: self.gateway.traffic().counts(),
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -243,6 +243,7 @@
     }
     let sent = leaf.rate_limit().is_limited().then(now);
     context.sent.insert(&leaf);
+    leaf.pool().record_request();
     let mut request = build_request(&leaf, &outgoing, &context);
     let response = loop {
         match lease.connection.sender.try_send_request(request).await {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -29,6 +29,7 @@
 use crate::gateway::Gateway;
 use crate::server::Handler;
 use crate::server::Origin;
+use crate::traffic::Counter;
 
 /// Largest message, in bytes.
 const MESSAGE_BYTES_MAX: usize = 4 << 20;
@@ -143,7 +144,7 @@
     Client::new(peer).with_reply_bytes_max(MESSAGE_BYTES_MAX)
 }
 
-/// Sends a message and decodes the reply.
+/// Sends a message, counts its bytes and decodes the reply.
 ///
 /// # Errors
 ///
@@ -153,12 +154,18 @@
     path: &str,
     message: &M,
     time_limit: Duration,
+    counter: &Counter,
 ) -> Result<R, Error> {
+    let message = encode(message)?;
+    let sent = message.len();
     let request = Request::post(path)
         .header("host", "peer")
-        .body(Full::new(Bytes::from(encode(message)?)))
+        .body(Full::new(Bytes::from(message)))
         .map_err(invalid)?;
-    let response = client.call(request, time_limit).await?;
+    let response = client.call(request, time_limit).await;
+    let received = response.as_ref().map_or(0, |response| response.body().len());
+    counter.record(sent, received);
+    let response = response?;
     if response.status() != StatusCode::OK {
         return Err(Error::Rejected(response.status().as_u16()));
     }
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -45,6 +45,9 @@
 use crate::query;
 use crate::sent::LeafsByService;
 use crate::server::Phase;
+use crate::traffic::Counter;
+use crate::traffic::Kind;
+use crate::traffic::Traffic;
 
 /// HTTP path at which other instances pass requests to this one.
 pub(crate) const DELEGATION_PATH: &str = "/delegation";
@@ -180,6 +183,7 @@
 #[derive(Debug)]
 pub struct Delegator {
     peers: Arc<Peers>,
+    traffic: Arc<Traffic>,
     helpers: Mutex<BTreeMap<SocketAddr, Helper>>,
 }
 
@@ -205,8 +209,8 @@
 
 impl Delegator {
     /// Creates a delegator that passes requests to `peers`.
-    pub(crate) fn new(peers: Arc<Peers>) -> Self {
-        Self { peers, helpers: Mutex::default() }
+    pub(crate) fn new(peers: Arc<Peers>, traffic: Arc<Traffic>) -> Self {
+        Self { peers, traffic, helpers: Mutex::default() }
     }
 
     /// Returns whether another instance is known.
@@ -242,7 +246,7 @@
             }
             request.deadline_ms = millis_until(end);
             let message = Message::Run(Box::new(request.clone()));
-            match call::call(&client, DELEGATION_PATH, &message, time).await {
+            match call::call(&client, DELEGATION_PATH, &message, time, self.counter(peer)).await {
                 Ok(Answer::Answered { status, headers, body, load }) => {
                     self.record(peer, Some(Status { helps: true, load }));
                     return match reply(status, &headers, body) {
@@ -280,8 +284,9 @@
         let nearest_first = self.peers.by_distance().into_iter().flat_map(sample);
         let calls = nearest_first.take(STATUS_PEERS).map(|peer| async move {
             let client = self.client(peer);
+            let (message, counter) = (Message::Status, self.counter(peer));
             let answer =
-                call::call(&client, DELEGATION_PATH, &Message::Status, STATUS_TIMEOUT).await;
+                call::call(&client, DELEGATION_PATH, &message, STATUS_TIMEOUT, counter).await;
             match answer {
                 Ok(Answer::Status(status)) => self.record(peer, Some(status)),
                 _ => self.record(peer, None),
@@ -309,6 +314,10 @@
         None
     }
 
+    fn counter(&self, peer: SocketAddr) -> &Counter {
+        self.traffic.counter(Kind::Delegated, self.peers.distance(peer))
+    }
+
     fn client(&self, peer: SocketAddr) -> Arc<Client> {
         self.lock().entry(peer).or_insert_with(|| Helper::new(peer)).client.clone()
     }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,7 +1,6 @@
 //! Holds the configuration in force and the leafs of each service, as one instance knows them.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -26,6 +25,11 @@
 use crate::config::Config;
 use crate::leaf::Leaf;
 use crate::leaf::LeafKey;
+use crate::pool::Pool;
+use crate::topology::Distance;
+use crate::topology::Topology;
+use crate::traffic::Kind;
+use crate::traffic::Traffic;
 
 /// Connections to a leaf whose service is not in the configuration.
 const CONNECTIONS_DEFAULT: u32 = 16;
@@ -35,8 +39,8 @@
 /// Configuration and leafs, as last received from the catalog or from other instances.
 #[derive(Debug)]
 pub struct Directory {
-    /// Failure domains of this instance's region.
-    own_region: BTreeSet<SmolStr>,
+    topology: Topology,
+    traffic: Arc<Traffic>,
     state: Mutex<State>,
     changed: watch::Sender<()>,
 }
@@ -68,11 +72,10 @@
 }
 
 impl Directory {
-    /// Creates an empty directory. `own_region` names the failure domains of the instance's region,
-    /// `fleet` is the assumed size of the fleet.
-    pub fn new(own_region: BTreeSet<SmolStr>, fleet: FleetSize) -> Self {
+    /// Creates an empty directory. `fleet` is the assumed size of the fleet.
+    pub fn new(topology: Topology, fleet: FleetSize, traffic: Arc<Traffic>) -> Self {
         let state = State { fleet: Some(fleet), ..State::default() };
-        Self { own_region, state: Mutex::new(state), changed: watch::channel(()).0 }
+        Self { topology, traffic, state: Mutex::new(state), changed: watch::channel(()).0 }
     }
 
     /// Returns a receiver that is notified of each change.
@@ -322,8 +325,10 @@
         log_change(&entry, revision);
         let bounds = self.connection_bounds(state, &entry);
         let fleet = state.fleet.unwrap_or(FleetSize { own_region: 1, all: 1 });
-        let leaf =
-            Arc::new(Leaf::new(entry.clone(), ConnectionLimit::new(bounds, fleet), revision, now));
+        let distance = self.topology.distance(&entry.failure_domain);
+        let pool = Pool::new(entry.address, ConnectionLimit::new(bounds, fleet))
+            .with_counter(self.traffic.counter(Kind::Leafs, distance).clone());
+        let leaf = Arc::new(Leaf::new(entry.clone(), pool, revision, now));
         if let Some((started_ms, at)) = state.leaving.get(&entry.id)
             && *started_ms == entry.started_ms
         {
@@ -343,7 +348,7 @@
         Bounds {
             max,
             slots: entry.slots,
-            in_own_region: self.own_region.contains(&entry.failure_domain),
+            in_own_region: self.topology.distance(&entry.failure_domain) < Distance::Remote,
         }
     }
 
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -208,7 +208,7 @@
                     }
                     self.pending.retain(|pending| !Arc::ptr_eq(pending, &leaf));
                     if matches!(outcome, Outcome::Answered(_)) {
-                        self.suspicion.clear();
+                        self.suspicion.record_answer();
                     }
                     match outcome {
                         Outcome::Answered(answer) if !answer.status.is_server_error() => {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,6 @@
 //! State that the tasks of a running gateway share, and its settings.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -30,6 +29,8 @@
 use crate::reachability::Reachability;
 use crate::rest::Rests;
 use crate::round_trip::Estimator;
+use crate::topology::Topology;
+use crate::traffic::Traffic;
 
 /// Most suspects that run isolated at a time. They run at different leafs where possible.
 const ISOLATED_RUNS_MAX: usize = 8;
@@ -73,11 +74,9 @@
 }
 
 impl Options {
-    /// Returns the failure domains of this instance's region.
-    fn own_region_domains(&self) -> BTreeSet<SmolStr> {
-        let own = self.regions.get(&self.failure_domain);
-        let domains = self.regions.iter().filter(|(_, region)| Some(*region) == own);
-        domains.map(|(domain, _)| domain.clone()).chain([self.failure_domain.clone()]).collect()
+    /// Returns the failure domain of this instance and the regions of all.
+    pub(crate) fn topology(&self) -> Topology {
+        Topology::new(self.failure_domain.clone(), self.regions.clone())
     }
 
     /// Returns the name by which other instances know this one in the quarantine.
@@ -91,7 +90,8 @@
     /// Returns the assumed fleet, with equally many instances in each failure domain.
     fn assumed_fleet_size(&self) -> FleetSize {
         let domains = self.regions.len().max(1);
-        let own_region = (self.instances * self.own_region_domains().len() / domains).max(1);
+        let own_region =
+            (self.instances * self.topology().own_region_domains().len() / domains).max(1);
         FleetSize { own_region, all: self.instances.max(1) }
     }
 }
@@ -232,6 +232,7 @@
     successes: RecentSuccesses,
     answer_memory: Arc<AnswerMemory>,
     metrics: Metrics,
+    traffic: Arc<Traffic>,
 }
 
 impl Gateway {
@@ -241,9 +242,11 @@
     ///
     /// Fails if the metrics can't be set up.
     pub fn new(options: &Options) -> Result<Self, jaycrank_metric::Error> {
-        let round_trips = Estimator::new(options.failure_domain.clone(), options.regions.clone());
+        let round_trips = Estimator::new(options.topology());
+        let traffic = Arc::<Traffic>::default();
+        let (topology, fleet) = (options.topology(), options.assumed_fleet_size());
         Ok(Self {
-            directory: Directory::new(options.own_region_domains(), options.assumed_fleet_size()),
+            directory: Directory::new(topology, fleet, traffic.clone()),
             round_trips: Arc::new(round_trips),
             names: Arc::new(options.names.clone()),
             quotas: Quotas::new(options),
@@ -255,10 +258,12 @@
             service_times: Mutex::default(),
             shedder: Shedder::new(),
             quarantine: Quarantine::new(options.quarantine_name())
-                .with_isolated_max(ISOLATED_RUNS_MAX),
+                .with_isolated_max(ISOLATED_RUNS_MAX)
+                .with_forwarding(),
             successes: RecentSuccesses::new(),
             answer_memory: Arc::default(),
-            metrics: Metrics::new()?,
+            metrics: Metrics::new(traffic.clone())?,
+            traffic,
         })
     }
 
@@ -336,6 +341,11 @@
         &self.answer_memory
     }
 
+    /// Returns the counts of messages and bytes.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.traffic
+    }
+
     /// Returns the counters and histograms.
     pub fn metrics(&self) -> &Metrics {
         &self.metrics
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -10,7 +10,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Instant;
 
-use jaycrank_policy::connections::ConnectionLimit;
 use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement::LeafStats;
 use jaycrank_policy::presence::Eligibility;
@@ -86,11 +85,11 @@
 }
 
 impl Leaf {
-    /// Creates a leaf without open connections.
-    pub fn new(entry: Entry, limit: ConnectionLimit, revision: Revision, now: Instant) -> Self {
+    /// Creates a leaf whose connections come from `pool`.
+    pub fn new(entry: Entry, pool: Pool, revision: Revision, now: Instant) -> Self {
         let stats = LeafStats::default().with_cold_until(now + entry.cold);
         Self {
-            pool: Pool::new(entry.address, limit),
+            pool,
             presence: Mutex::new(presence(&entry)),
             leaving: OnceLock::new(),
             stats: Mutex::new(stats),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,8 @@
 mod suspicion;
 pub mod token_exchange;
 pub mod token_owner;
+pub mod topology;
+pub mod traffic;
 mod witness;
 
 pub use crate::catalog::Catalog;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -48,6 +48,7 @@
 use crate::server::Origin;
 use crate::server::Phase;
 use crate::token_exchange;
+use crate::traffic;
 
 /// Time after which the load balancer sends no new connections: it probes each second and removes
 /// an instance at the second failed probe.
@@ -61,6 +62,9 @@
 /// Interval at which expired leafs are dropped and idle connections closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Interval at which the counts of messages and bytes are logged.
+const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Running gateway instance.
 pub struct Instance {
     name: SmolStr,
@@ -110,11 +114,11 @@
         let gateway = Arc::new(gateway);
         let connectivity = Arc::new(Connectivity::default());
         let (phase, phases) = watch::channel(Phase::Serving);
-        let peers = options.peer_listen.map(|listen| {
-            let domain = options.failure_domain.clone();
-            Arc::new(Peers::new(listen, domain, options.regions.clone(), &options.seeds))
-        });
-        let delegator = peers.clone().map(|peers| Arc::new(Delegator::new(peers)));
+        let peers = options
+            .peer_listen
+            .map(|listen| Arc::new(Peers::new(listen, options.topology(), &options.seeds)));
+        let delegator =
+            peers.clone().map(|peers| Arc::new(Delegator::new(peers, gateway.traffic().clone())));
         let path = options.ready_path.clone();
         let readiness =
             Readiness::new(gateway.clone(), phases.clone(), path).with_delegator(delegator.clone());
@@ -129,6 +133,7 @@
         }
         let mut tasks =
             vec![tokio::spawn(measure_load(gateway.clone())), tokio::spawn(sweep(gateway.clone()))];
+        tasks.push(tokio::spawn(log_traffic(options.name.clone(), gateway.clone())));
         let mut catalog = catalog;
         let mut delegated_running = Arc::default();
         tasks.push(tokio::spawn(reachability::watch(gateway.clone())));
@@ -137,12 +142,16 @@
             let listen = peers.own_address();
             let polls = Responder::new(gateway.clone(), peers.clone(), connectivity.clone());
             let suspects = Answerer::new(gateway.clone(), quarantine::respond);
+            let crossing = Answerer::new(gateway.clone(), quarantine::respond_to_crossing);
+            let pushes = Answerer::new(gateway.clone(), quarantine::receive);
             let limits = Answerer::new(gateway.clone(), token_exchange::respond);
             let delegated = delegation::Responder::new(gateway.clone(), phases.clone());
             delegated_running = delegated.running();
             let dispatcher = Dispatcher::default()
                 .with_service(peer::EXCHANGE_PATH, Arc::new(polls))
                 .with_service(quarantine::QUARANTINE_PATH, Arc::new(suspects))
+                .with_service(quarantine::CROSSING_PATH, Arc::new(crossing))
+                .with_service(quarantine::PUSH_PATH, Arc::new(pushes))
                 .with_service(token_exchange::LIMIT_PATH, Arc::new(limits))
                 .with_service(delegation::DELEGATION_PATH, Arc::new(delegated));
             server::listen(listen, Arc::new(dispatcher), phases).await?;
@@ -210,6 +219,15 @@
     }
 }
 
+/// Logs the counts of messages and bytes at an interval.
+async fn log_traffic(instance: SmolStr, gateway: Arc<Gateway>) {
+    loop {
+        sleep(TRAFFIC_LOG_INTERVAL).await;
+        let counts = traffic::format_counts(&gateway.traffic().counts());
+        event!(Event::TrafficCounted, instance = instance, counts = counts);
+    }
+}
+
 async fn sweep(gateway: Arc<Gateway>) {
     loop {
         sleep(SWEEP_INTERVAL).await;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and the latency histogram of the gateway.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -9,10 +10,15 @@
 use jaycrank_metric::Error;
 use jaycrank_metric::Registry;
 use opentelemetry::KeyValue;
+use opentelemetry::metrics::AsyncInstrument;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::Meter;
 use smol_str::SmolStr;
 
+use crate::traffic::Count;
+use crate::traffic::Traffic;
+
 /// Bucket boundaries of the latency histogram, in seconds.
 const LATENCY_BOUNDARIES_S: [f64; 12] =
     [0.01, 0.02, 0.04, 0.06, 0.08, 0.1, 0.15, 0.2, 0.5, 1.0, 2.0, 5.0];
@@ -33,14 +39,15 @@
 }
 
 impl Metrics {
-    /// Creates the instruments in a new registry.
+    /// Creates the instruments in a new registry. Messages and bytes are read from `traffic`.
     ///
     /// # Errors
     ///
     /// Fails if the exporter can't be built.
-    pub fn new() -> Result<Self, Error> {
+    pub fn new(traffic: Arc<Traffic>) -> Result<Self, Error> {
         let registry = Registry::new()?;
         let meter = registry.meter();
+        observe_traffic(meter, traffic);
         let requests = meter
             .u64_counter("jaycrank_requests")
             .with_description("Requests by route and outcome")
@@ -142,3 +149,36 @@
         self.outcomes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Creates the instruments for messages and bytes by kind and distance.
+fn observe_traffic(meter: &Meter, traffic: Arc<Traffic>) {
+    let observe = |traffic: Arc<Traffic>, value: fn(&Count) -> u64| {
+        move |observer: &dyn AsyncInstrument<u64>| {
+            for (name, count) in traffic.counts() {
+                let (kind, distance) = name.split_once('/').unwrap_or((&name, ""));
+                let labels = [
+                    KeyValue::new("kind", kind.to_owned()),
+                    KeyValue::new("distance", distance.to_owned()),
+                ];
+                observer.observe(value(&count), &labels);
+            }
+        }
+    };
+    meter
+        .u64_observable_counter("jaycrank_messages")
+        .with_description("Messages sent, by kind and distance")
+        .with_callback(observe(traffic.clone(), |count| count.messages))
+        .build();
+    meter
+        .u64_observable_counter("jaycrank_sent")
+        .with_unit("By")
+        .with_description("Bytes sent, by kind and distance")
+        .with_callback(observe(traffic.clone(), |count| count.sent))
+        .build();
+    meter
+        .u64_observable_counter("jaycrank_received")
+        .with_unit("By")
+        .with_description("Bytes received in reply, by kind and distance")
+        .with_callback(observe(traffic, |count| count.received))
+        .build();
+}
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -18,6 +18,7 @@
 use jaycrank_event::event;
 use jaycrank_http::Client;
 use jaycrank_policy::connections::FleetSize;
+use jaycrank_policy::gossip::Regions;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
@@ -38,6 +39,10 @@
 use crate::directory::Directory;
 use crate::follow::Connectivity;
 use crate::gateway::Gateway;
+use crate::topology::Distance;
+use crate::topology::Topology;
+use crate::traffic::Kind;
+use crate::traffic::Traffic;
 
 /// HTTP path of an exchange.
 pub(crate) const EXCHANGE_PATH: &str = "/exchange";
@@ -142,22 +147,16 @@
 #[derive(Debug)]
 pub struct Peers {
     own_address: SocketAddr,
-    failure_domain: SmolStr,
-    regions: BTreeMap<SmolStr, SmolStr>,
+    topology: Topology,
     seeds: Vec<SocketAddr>,
     peers: Mutex<BTreeMap<SocketAddr, Peer>>,
 }
 
 impl Peers {
     /// Creates a list that holds only the seeds.
-    pub fn new(
-        own_address: SocketAddr,
-        failure_domain: SmolStr,
-        regions: BTreeMap<SmolStr, SmolStr>,
-        seeds: &[SocketAddr],
-    ) -> Self {
+    pub fn new(own_address: SocketAddr, topology: Topology, seeds: &[SocketAddr]) -> Self {
         let seeds = seeds.iter().copied().filter(|seed| *seed != own_address).collect();
-        Self { own_address, failure_domain, regions, seeds, peers: Mutex::default() }
+        Self { own_address, topology, seeds, peers: Mutex::default() }
     }
 
     /// Returns the address at which this instance listens for exchanges.
@@ -167,7 +166,14 @@
 
     /// Returns the failure domain of this instance.
     pub fn failure_domain(&self) -> &SmolStr {
-        &self.failure_domain
+        self.topology.own_domain()
+    }
+
+    /// Returns the distance of an instance; one that is not known counts as remote.
+    pub(crate) fn distance(&self, address: SocketAddr) -> Distance {
+        let peers = self.lock();
+        let domain = peers.get(&address).map(|peer| &peer.failure_domain);
+        domain.map_or(Distance::Remote, |domain| self.topology.distance(domain))
     }
 
     fn record(&self, address: SocketAddr, failure_domain: SmolStr, age: Duration) {
@@ -188,7 +194,7 @@
     /// Returns the other instances of the same failure domain.
     pub fn same_domain(&self) -> Vec<SocketAddr> {
         let peers = self.lock();
-        let same = peers.iter().filter(|(_, peer)| peer.failure_domain == self.failure_domain);
+        let same = peers.iter().filter(|(_, peer)| peer.failure_domain == *self.failure_domain());
         same.map(|(address, _)| *address).collect()
     }
 
@@ -211,21 +217,30 @@
         self.lock().is_empty()
     }
 
+    /// Returns the other instances by region. Seeds that are not known yet count as instances of the
+    /// own region.
+    pub(crate) fn by_region(&self) -> Regions<SocketAddr> {
+        let peers = self.lock();
+        let unknown = self.seeds.iter().filter(|seed| !peers.contains_key(seed));
+        let mut regions = Regions { own: unknown.copied().collect(), others: BTreeMap::new() };
+        for (address, Peer { failure_domain, .. }) in peers.iter() {
+            if self.topology.distance(failure_domain) < Distance::Remote {
+                regions.own.push(*address);
+            } else {
+                let region = self.topology.region(failure_domain).clone();
+                regions.others.entry(region).or_default().push(*address);
+            }
+        }
+        regions
+    }
+
     /// Returns the other instances of this failure domain, then those of other failure domains of the
     /// region, then all others.
     pub(crate) fn by_distance(&self) -> [Vec<SocketAddr>; 3] {
         let peers = self.lock();
-        let own_region = self.regions.get(&self.failure_domain);
         let mut groups = [Vec::new(), Vec::new(), Vec::new()];
         for (address, peer) in peers.iter() {
-            let distance = if peer.failure_domain == self.failure_domain {
-                0
-            } else if self.regions.get(&peer.failure_domain) == own_region {
-                1
-            } else {
-                2
-            };
-            groups[distance].push(*address);
+            groups[self.topology.distance(&peer.failure_domain) as usize].push(*address);
         }
         groups
     }
@@ -233,19 +248,19 @@
     /// Returns the number of instances, including this one.
     pub fn fleet_size(&self) -> FleetSize {
         let peers = self.lock();
-        let own = self.regions.get(&self.failure_domain);
-        let same_region =
-            peers.values().filter(|peer| self.regions.get(&peer.failure_domain) == own);
+        let same_region = peers
+            .values()
+            .filter(|peer| self.topology.distance(&peer.failure_domain) < Distance::Remote);
         FleetSize { own_region: same_region.count() + 1, all: peers.len() + 1 }
     }
 
     /// Chooses an instance to poll: one of another failure domain, else any known one or a seed.
     fn choose_remote(&self) -> Option<SocketAddr> {
         let peers = self.lock();
-        let own_region = self.regions.get(&self.failure_domain);
-        let other = peers.iter().filter(|(_, peer)| peer.failure_domain != self.failure_domain);
+        let distance = |peer: &Peer| self.topology.distance(&peer.failure_domain);
+        let other = peers.iter().filter(|(_, peer)| distance(peer) > Distance::Domain);
         let (same, others): (Vec<_>, Vec<_>) =
-            other.partition(|(_, peer)| self.regions.get(&peer.failure_domain) == own_region);
+            other.partition(|(_, peer)| distance(peer) == Distance::Region);
         let mut candidates: Vec<SocketAddr> = match (same.is_empty(), others.is_empty()) {
             (false, true) => addresses(same),
             (true, false) => addresses(others),
@@ -372,14 +387,35 @@
     }
 }
 
-/// Polls another instance.
+/// Polls another instance and counts what its reply contains.
 ///
 /// # Errors
 ///
 /// [`call::Error`] if there is no valid reply in time.
-pub async fn poll(client: &Client, poll: &Poll) -> Result<Update, call::Error> {
+pub async fn poll(
+    client: &Client,
+    poll: &Poll,
+    traffic: &Traffic,
+    distance: Distance,
+) -> Result<Update, call::Error> {
     let time = Duration::from_millis(poll.wait_ms) + EXCHANGE_TIMEOUT;
-    call::call(client, EXCHANGE_PATH, poll, time).await
+    let counter = traffic.counter(Kind::Polls, distance);
+    let update: Update = call::call(client, EXCHANGE_PATH, poll, time, counter).await?;
+    if let Some(config) = &update.config {
+        counter.move_received(traffic.counter(Kind::Configurations, distance), size(config));
+    }
+    if let Some(leafs) = &update.leafs {
+        counter.move_received(traffic.counter(Kind::Entries, distance), size(leafs));
+    }
+    if !update.peers.is_empty() {
+        counter.move_received(traffic.counter(Kind::Instances, distance), size(&update.peers));
+    }
+    Ok(update)
+}
+
+/// Returns the encoded size of a part of a message, in bytes.
+fn size(part: &impl Serialize) -> usize {
+    call::encode(part).map_or(0, |bytes| bytes.len())
 }
 
 fn addresses(peers: Vec<(&SocketAddr, &Peer)>) -> Vec<SocketAddr> {
@@ -461,7 +497,7 @@
     let directory = gateway.directory();
     Poll {
         from: peers.own_address,
-        failure_domain: peers.failure_domain.clone(),
+        failure_domain: peers.failure_domain().clone(),
         version: if documents { Wanted::newer(directory) } else { Wanted::Nothing },
         revision: if documents {
             Wanted::After(directory.known_revision())
@@ -477,7 +513,8 @@
 async fn poll_peer(gateway: &Gateway, peers: &Peers, client: &Client, wanted: &Poll) -> bool {
     let directory = gateway.directory();
     // A failed poll is not repeated at once: the next round may poll another instance.
-    let Ok(update) = poll(client, wanted).await else { return false };
+    let distance = peers.distance(client.address());
+    let Ok(update) = poll(client, wanted, gateway.traffic(), distance).await else { return false };
     for (address, failure_domain, age_ms) in update.peers {
         peers.record(address, failure_domain, Duration::from_millis(age_ms));
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -28,6 +28,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::traffic::Counted;
+use crate::traffic::Counter;
 use crate::witness::Registration;
 use crate::witness::Verdict;
 use crate::witness::Witnesses;
@@ -92,6 +94,7 @@
     capacity: Mutex<Capacity>,
     idle: Mutex<Vec<Connection>>,
     witnesses: Arc<Witnesses>,
+    counter: Arc<Counter>,
     /// Start of the last probe, and whether the leaf refused the connection.
     probe: tokio::sync::Mutex<Option<(Instant, bool)>>,
 }
@@ -128,10 +131,22 @@
             capacity: Mutex::new(Capacity { limit, permits }),
             idle: Mutex::default(),
             witnesses: Arc::default(),
+            counter: Arc::default(),
             probe: tokio::sync::Mutex::default(),
         }
     }
 
+    /// Sets the counter of the bytes of all connections.
+    pub fn with_counter(mut self, counter: Arc<Counter>) -> Self {
+        self.counter = counter;
+        self
+    }
+
+    /// Counts a request to the leaf.
+    pub(crate) fn record_request(&self) {
+        self.counter.record_message();
+    }
+
     /// Updates this instance's share of the connections that the leaf accepts.
     pub fn set_share(&self, bounds: Bounds, fleet: FleetSize) {
         let mut capacity = self.capacity();
@@ -290,6 +305,7 @@
 
     async fn set_up(&self, stream: TcpStream) -> Result<Connection, Error> {
         set_tcp_options(&stream).map_err(connect_error)?;
+        let stream = Counted::new(stream, self.counter.clone());
         let (sender, driver) =
             http1::handshake(TokioIo::new(stream)).await.map_err(connect_error)?;
         let registration = self.witnesses.register();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -132,7 +132,8 @@
                 wait_ms: wait.as_millis() as u64,
                 peers: false,
             };
-            match peer::poll(&client, &poll).await {
+            let distance = self.peers.distance(peer);
+            match peer::poll(&client, &poll, self.gateway.traffic(), distance).await {
                 Ok(update) if update.current && !is_behind(&update, revision) => {
                     let leafs = update.leafs.as_ref().map_or(0, |leafs| leafs.entries.len());
                     self.gateway.metrics().record_exchanged_leafs("reader", leafs);
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -18,6 +18,7 @@
 
 use crate::catalog::Entry;
 use crate::config::Version;
+use crate::traffic::Counts;
 
 /// HTTP path of the state dump.
 pub(crate) const DUMP_PATH: &str = "/dump";
@@ -55,6 +56,9 @@
     /// Limits that leafs state, by leaf.
     #[serde(default)]
     pub limits: BTreeMap<SmolStr, LimitStatus>,
+    /// Messages and bytes since the start, by kind and distance.
+    #[serde(default)]
+    pub traffic: Counts,
 }
 
 /// Limit that a leaf states, and the tokens of the instance for it.
--- a/crates/gateway/src/round_trip.rs
+++ b/crates/gateway/src/round_trip.rs
@@ -8,6 +8,9 @@
 
 use smol_str::SmolStr;
 
+use crate::topology::Distance;
+use crate::topology::Topology;
+
 /// Estimate for the same failure domain while nothing is measured.
 const SAME_DOMAIN_DEFAULT: Duration = Duration::from_millis(1);
 /// Estimate for other failure domains of the same region while nothing is measured.
@@ -21,20 +24,18 @@
 /// Round-trip times as measured by one instance.
 #[derive(Debug)]
 pub struct Estimator {
-    own: SmolStr,
-    regions: BTreeMap<SmolStr, SmolStr>,
+    topology: Topology,
     measured: Mutex<BTreeMap<SmolStr, Duration>>,
 }
 
 impl Estimator {
-    /// Creates an estimator for an instance in failure domain `own`. `regions` maps each failure
-    /// domain to its region.
-    pub fn new(own: SmolStr, regions: BTreeMap<SmolStr, SmolStr>) -> Self {
-        Self { own, regions, measured: Mutex::default() }
+    /// Creates an estimator without measurements.
+    pub fn new(topology: Topology) -> Self {
+        Self { topology, measured: Mutex::default() }
     }
 
     /// Returns the estimated round-trip time to a failure domain.
-    pub fn estimate(&self, domain: &str) -> Duration {
+    pub fn estimate(&self, domain: &SmolStr) -> Duration {
         let measured = self.measured.lock().unwrap_or_else(PoisonError::into_inner);
         measured.get(domain).copied().unwrap_or_else(|| self.default_estimate(domain))
     }
@@ -50,13 +51,11 @@
         };
     }
 
-    fn default_estimate(&self, domain: &str) -> Duration {
-        if domain == self.own {
-            SAME_DOMAIN_DEFAULT
-        } else if self.regions.get(domain) == self.regions.get(&self.own) {
-            SAME_REGION_DEFAULT
-        } else {
-            OTHER_REGION_DEFAULT
+    fn default_estimate(&self, domain: &SmolStr) -> Duration {
+        match self.topology.distance(domain) {
+            Distance::Domain => SAME_DOMAIN_DEFAULT,
+            Distance::Region => SAME_REGION_DEFAULT,
+            Distance::Remote => OTHER_REGION_DEFAULT,
         }
     }
 }
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -115,8 +115,9 @@
         }
     }
 
-    /// Records that the request ran without a crash if it is a suspect.
-    pub(crate) fn clear(&mut self) {
+    /// Records that a leaf answered, which clears the request if it is a suspect.
+    pub(crate) fn record_answer(&mut self) {
+        self.gateway.quarantine().record_answer(Instant::now().into_std());
         if self.suspected || self.is_isolated() {
             let fingerprint = self.job.outgoing.fingerprint();
             self.gateway.quarantine().record_success(fingerprint, Instant::now().into_std());
--- a/crates/gateway/src/token_exchange.rs
+++ b/crates/gateway/src/token_exchange.rs
@@ -29,6 +29,9 @@
 use crate::rate_limit::RateLimits;
 use crate::rate_limit::Report;
 use crate::token_owner::Contact;
+use crate::topology::Distance;
+use crate::traffic::Counter;
+use crate::traffic::Kind;
 
 /// HTTP path of the exchanges.
 pub(crate) const LIMIT_PATH: &str = "/limit";
@@ -94,7 +97,9 @@
         clients.retain(|address, _| known.contains(address));
         let mut send = |peer: SocketAddr, asks: Vec<Ask>| {
             let client = clients.entry(peer).or_insert_with(|| Arc::new(call::client(peer)));
-            tokio::spawn(exchange(gateway.clone(), client.clone(), own, asks));
+            let distance = peers.as_ref().map_or(Distance::Remote, |peers| peers.distance(peer));
+            let counter = gateway.traffic().counter(Kind::Tokens, distance).clone();
+            tokio::spawn(exchange(gateway.clone(), client.clone(), counter, own, asks));
         };
         if now() >= next_exchange {
             limits.sweep();
@@ -127,11 +132,17 @@
 }
 
 /// Sends one message to a peer and applies its answer.
-async fn exchange(gateway: Arc<Gateway>, client: Arc<Client>, from: SocketAddr, asks: Vec<Ask>) {
+async fn exchange(
+    gateway: Arc<Gateway>,
+    client: Arc<Client>,
+    counter: Arc<Counter>,
+    from: SocketAddr,
+    asks: Vec<Ask>,
+) {
     let limits = gateway.rate_limits();
     let message = Message { from, reports: limits.reports(&asks), asks };
     let answer: Result<Answer, call::Error> =
-        call::call(&client, LIMIT_PATH, &message, ASK_TIMEOUT).await;
+        call::call(&client, LIMIT_PATH, &message, ASK_TIMEOUT, &counter).await;
     let contact = match &answer {
         Ok(_) => Contact::Reached,
         // An instance of a version without limits grants nothing either.
--- a/crates/jaycrank/src/command.rs
+++ b/crates/jaycrank/src/command.rs
@@ -22,6 +22,7 @@
 use crate::local::LocalTier;
 use crate::local::TierOptions;
 use crate::standins;
+use crate::traffic;
 use jaycrank_event as events;
 
 /// Flags of `jaycrank local`.
@@ -162,6 +163,7 @@
         "status" => administer::status(arguments).await,
         "dump" => administer::dump(arguments).await,
         "fleet" => fleet::run(arguments).await,
+        "traffic" => traffic::run(arguments),
         "fairness" => administer::fairness(arguments).await,
         "help" | "--help" | "-h" => print(&help()),
         "--version" | "-V" => print(&format!("jaycrank {}", env!("CARGO_PKG_VERSION"))),
@@ -190,6 +192,7 @@
        status    print the state of an instance and its peers\n  \
        dump      print the whole state of an instance\n  \
        fleet     print an overview of running gateways\n  \
+       traffic   print messages and bytes of a fleet from its logs\n  \
        fairness  print what each member asked for and received\n  \
        help      print this text\n\n\
      `jaycrank SUBCOMMAND --help` lists the flags. Each flag has an environment variable."
--- a/crates/jaycrank/src/lib.rs
+++ b/crates/jaycrank/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod shared;
 pub mod standins;
 pub mod token;
+pub mod traffic;
 
 pub use crate::node::Node;
 pub use crate::node::Options;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -32,6 +32,7 @@
 mod fair_queue;
 mod fifo;
 pub mod gather;
+pub mod gossip;
 pub mod hedge;
 pub mod hold;
 pub mod losses;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! succeeds, the request is cleared. A request that several instances had in flight at three
 //! crashes is refused without an isolated run, unless another request may be the cause.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -26,6 +27,7 @@
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
+use crate::gossip;
 use crate::losses::Losses;
 
 /// A hash of the service and body of a request.
@@ -149,6 +151,17 @@
     Isolated,
 }
 
+/// Where observations come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A push of an instance of the own region.
+    OwnRegion,
+    /// A push of an instance of another region.
+    OtherRegion,
+    /// A regular exchange.
+    Exchange,
+}
+
 /// Result of waiting for an isolated run; see [`Quarantine::isolate`].
 pub enum Turn {
     /// The request may run isolated until the permit is dropped.
@@ -225,6 +238,17 @@
         now.saturating_duration_since(self.changed_at)
     }
 
+    /// Returns what other instances should know of the request: its state and the number of leafs.
+    fn evidence(&self) -> (u32, State, usize) {
+        (self.observation.round, self.observation.state, self.observation.leafs.len())
+    }
+
+    /// Returns the observation with its current age.
+    fn current(&self, now: Instant) -> Observation {
+        let age_ms = u64::try_from(self.age(now).as_millis()).unwrap_or(u64::MAX);
+        Observation { age_ms, ..self.observation.clone() }
+    }
+
     fn ttl(&self) -> Duration {
         self.observation.ttl()
     }
@@ -272,6 +296,10 @@
     isolated: BTreeSet<Fingerprint>,
     /// Requests that were lost without a sign whether the leaf ended.
     losses: Losses,
+    /// Observations to pass on within the own region.
+    news: BTreeSet<Fingerprint>,
+    /// Observations of the own region to pass on to other regions.
+    crossing: BTreeSet<Fingerprint>,
 }
 
 /// One instance's view of the requests that are suspected of crashing servers.
@@ -279,6 +307,8 @@
     name: SmolStr,
     /// Most isolated runs at a time.
     isolated_max: usize,
+    /// Whether observations of peers are passed on.
+    forwards: bool,
     inner: Arc<Mutex<Inner>>,
     changed: Arc<Notify>,
 }
@@ -321,7 +351,13 @@
 impl Quarantine {
     /// Creates an empty quarantine of the instance `name`.
     pub fn new(name: impl Into<SmolStr>) -> Self {
-        Self { name: name.into(), isolated_max: 1, inner: Arc::default(), changed: Arc::default() }
+        Self {
+            name: name.into(),
+            isolated_max: 1,
+            forwards: false,
+            inner: Arc::default(),
+            changed: Arc::default(),
+        }
     }
 
     /// Sets the number of suspects that may run isolated at a time. A caller that allows more than
@@ -331,9 +367,74 @@
         self
     }
 
+    /// Signals also observations of peers that should be passed on, for instances that don't send to
+    /// all others.
+    pub fn with_forwarding(mut self) -> Self {
+        self.forwards = true;
+        self
+    }
+
+    /// Records that a leaf answered a request, which tells a failure of many leafs from a request that
+    /// crashes them.
+    pub fn record_answer(&self, now: Instant) {
+        lock(&self.inner).losses.record_answer(now);
+    }
+
+    /// Removes and returns at most `max` observations that other instances of the region may not know,
+    /// the most serious ones first.
+    pub fn take_news(&self, max: usize, now: Instant) -> Observations {
+        let mut inner = lock(&self.inner);
+        let chosen = inner.most_serious(&inner.news, max);
+        chosen.iter().for_each(|key| _ = inner.news.remove(key));
+        inner.current(&chosen, now)
+    }
+
+    /// Removes and returns observations that other regions may not know: refusals, and a few of the
+    /// others.
+    pub fn take_crossing(&self, now: Instant) -> Observations {
+        let mut inner = lock(&self.inner);
+        let chosen = inner.for_crossing(&inner.crossing);
+        chosen.iter().for_each(|key| _ = inner.crossing.remove(key));
+        inner.current(&chosen, now)
+    }
+
+    /// Returns whether there are observations that other instances of the region may not know.
+    pub fn has_news(&self) -> bool {
+        !lock(&self.inner).news.is_empty()
+    }
+
+    /// Returns whether there are refusals that other regions may not know; `None` if they may not know
+    /// anything else either.
+    pub fn has_crossing(&self) -> Option<bool> {
+        let inner = lock(&self.inner);
+        let is_refused = |key| inner.is_refused(key);
+        (!inner.crossing.is_empty()).then(|| inner.crossing.iter().any(is_refused))
+    }
+
+    /// Returns a random sample of at most `max` observations that includes the refusals, as far as
+    /// there is room.
+    pub fn sample(&self, max: usize, now: Instant) -> Observations {
+        let mut observations: Vec<_> = self.observations(now).into_iter().collect();
+        observations.sort_by_cached_key(|(_, observation)| {
+            (observation.state != State::Refused, rand::random::<u64>())
+        });
+        observations.truncate(max);
+        observations.into_iter().collect()
+    }
+
+    /// Returns a sample for an instance of another region: refusals, and a few of the others.
+    pub fn crossing_sample(&self, now: Instant) -> Observations {
+        let inner = lock(&self.inner);
+        let all = inner.entries.keys().copied().collect();
+        inner.current(&inner.for_crossing(&all), now)
+    }
+
     /// Replaces the names of the ready instances of the cell, from which examiners are chosen.
     pub fn set_ready_instances(&self, names: &[SmolStr]) {
-        lock(&self.inner).ready = names.iter().cloned().collect();
+        let mut inner = lock(&self.inner);
+        inner.ready = names.iter().cloned().collect();
+        let instances = inner.ready.len();
+        inner.losses.set_instances(instances);
     }
 
     /// Returns a signal that is notified when the observations should be sent without delay.
@@ -447,6 +548,7 @@
         entry.suspect_again(now);
         entry.observation.state = State::Cleared;
         entry.observation.leafs.clear();
+        inner.add_news(fingerprint);
         drop(inner);
         self.changed.notify_one();
         true
@@ -524,6 +626,11 @@
         entry.observation.state = State::Cleared;
         entry.observation.leafs.clear();
         entry.changed_at = now;
+        // Nobody has to learn of a suspect that was cleared before it was passed on.
+        inner.crossing.remove(&fingerprint);
+        if !inner.news.remove(&fingerprint) {
+            inner.add_news(fingerprint);
+        }
         drop(inner);
         self.changed.notify_one();
     }
@@ -534,11 +641,7 @@
         inner.entries.retain(|_, entry| {
             entry.observation.state == State::Refused || entry.age(now) < entry.ttl()
         });
-        let observation = |entry: &Entry| {
-            let age_ms = u64::try_from(entry.age(now).as_millis()).unwrap_or(u64::MAX);
-            Observation { age_ms, ..entry.observation.clone() }
-        };
-        inner.entries.iter().map(|(key, entry)| (*key, observation(entry))).collect()
+        inner.entries.iter().map(|(key, entry)| (*key, entry.current(now))).collect()
     }
 
     /// Returns the observations that changed within the last `age`.
@@ -562,16 +665,67 @@
         leading_u64(&hash.finalize())
     }
 
-    /// Merges the observations of a peer.
+    /// Merges the observations of a regular exchange with a peer.
     pub fn merge(&self, observations: Observations, now: Instant) {
+        self.receive(observations, Source::Exchange, now);
+    }
+
+    /// Merges the observations of a peer. What was not known is to be passed on.
+    pub fn receive(&self, observations: Observations, source: Source, now: Instant) {
         let mut inner = lock(&self.inner);
         for (fingerprint, observation) in observations {
-            inner.merge(fingerprint, observation, now);
+            inner.merge(fingerprint, observation, source, now);
+        }
+        if self.forwards && !inner.news.is_empty() {
+            self.changed.notify_one();
         }
     }
 }
 
 impl Inner {
+    /// Remembers that other instances should know of a request.
+    fn add_news(&mut self, fingerprint: Fingerprint) {
+        self.news.insert(fingerprint);
+        self.crossing.insert(fingerprint);
+    }
+
+    fn forget_news(&mut self, fingerprint: Fingerprint) {
+        self.news.remove(&fingerprint);
+        self.crossing.remove(&fingerprint);
+    }
+
+    fn is_refused(&self, fingerprint: &Fingerprint) -> bool {
+        let entry = self.entries.get(fingerprint);
+        entry.is_some_and(|entry| entry.observation.state == State::Refused)
+    }
+
+    /// Returns at most `max` of these requests: refused ones first, then those that were in flight at
+    /// the most crashes.
+    fn most_serious(&self, keys: &BTreeSet<Fingerprint>, max: usize) -> Vec<Fingerprint> {
+        let mut keys: Vec<_> = keys.iter().copied().collect();
+        keys.sort_by_cached_key(|key| {
+            let leafs = self.entries.get(key).map_or(0, |entry| entry.observation.leafs.len());
+            Reverse((self.is_refused(key), leafs))
+        });
+        keys.truncate(max);
+        keys
+    }
+
+    /// Returns those of these requests that another region is told of in one message.
+    fn for_crossing(&self, keys: &BTreeSet<Fingerprint>) -> Vec<Fingerprint> {
+        let (refused, others): (BTreeSet<_>, BTreeSet<_>) =
+            keys.iter().copied().partition(|key| self.is_refused(key));
+        let mut chosen = self.most_serious(&refused, gossip::CROSSING_REFUSALS_MAX);
+        chosen.extend(self.most_serious(&others, gossip::CROSSING_SUSPECTS_MAX));
+        chosen
+    }
+
+    /// Returns the observations of these requests with their current ages.
+    fn current(&self, keys: &[Fingerprint], now: Instant) -> Observations {
+        let known = keys.iter().filter_map(|key| Some((*key, self.entries.get(key)?.current(now))));
+        known.collect()
+    }
+
     /// Removes an expired fingerprint; a refused one becomes a suspect again.
     fn expire(&mut self, fingerprint: Fingerprint, now: Instant) {
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return };
@@ -582,6 +736,7 @@
             State::Refused => entry.suspect_again(now),
             State::Suspect | State::Cleared => {
                 self.entries.remove(&fingerprint);
+                self.forget_news(fingerprint);
             }
         }
     }
@@ -609,6 +764,7 @@
             let oldest = self.entries.iter().min_by_key(|(_, entry)| age(entry));
             if let Some(oldest) = oldest.map(|(fingerprint, _)| *fingerprint) {
                 self.entries.remove(&oldest);
+                self.forget_news(oldest);
             }
         }
         self.entries.entry(fingerprint).or_insert_with(|| Entry::new(now))
@@ -631,6 +787,7 @@
             State::Cleared if entry.observation.leafs.len() >= 2 => entry.suspect_again(now),
             State::Cleared | State::Refused => {}
         }
+        self.add_news(fingerprint);
         self.refuse_if_sole_cause(fingerprint, now);
     }
 
@@ -668,6 +825,7 @@
         let Some(entry) = self.entries.get_mut(&fingerprint) else { return };
         entry.observation.state = State::Refused;
         entry.changed_at = now;
+        self.add_news(fingerprint);
         self.apply_refusal(fingerprint, now);
     }
 
@@ -680,6 +838,7 @@
         now: Instant,
     ) {
         let others = self.other_crashes(fingerprint, leaf);
+        self.add_news(fingerprint);
         let entry = self.entry(fingerprint, now);
         entry.add_leaf(leaf);
         entry.add_reporter(name);
@@ -723,6 +882,7 @@
             for fingerprint in simultaneous.into_iter().chain([refused]) {
                 if let Some(entry) = self.entries.get_mut(&fingerprint) {
                     entry.suspect_again(now);
+                    self.add_news(fingerprint);
                 }
             }
             return;
@@ -733,9 +893,18 @@
                 || !entry.observation.leafs.is_subset(&leafs)
                 || time_between(entry.changed_at, at) > ATTRIBUTION_WINDOW
         });
+        let entries = &self.entries;
+        self.news.retain(|key| entries.contains_key(key));
+        self.crossing.retain(|key| entries.contains_key(key));
     }
 
-    fn merge(&mut self, fingerprint: Fingerprint, mut observation: Observation, now: Instant) {
+    fn merge(
+        &mut self,
+        fingerprint: Fingerprint,
+        mut observation: Observation,
+        source: Source,
+        now: Instant,
+    ) {
         for names in [&mut observation.leafs, &mut observation.reporters] {
             *names = std::mem::take(names).into_iter().take(LEAFS_MAX).collect();
         }
@@ -755,6 +924,7 @@
         {
             return;
         }
+        let before = self.entries.get(&fingerprint).map(Entry::evidence);
         let entry = self.entry(fingerprint, at);
         let known = (entry.observation.round, entry.observation.state);
         if (observation.round, observation.state) > known {
@@ -774,6 +944,13 @@
             observation.reporters.iter().for_each(|name| entry.add_reporter(name));
             observation.leafs.iter().for_each(|leaf| entry.add_leaf(leaf));
         }
+        let after = self.entries.get(&fingerprint).map(Entry::evidence);
+        if after.is_some() && after != before {
+            self.news.insert(fingerprint);
+            if source == Source::OwnRegion {
+                self.crossing.insert(fingerprint);
+            }
+        }
         self.refuse_if_sole_cause(fingerprint, now);
     }
 }
--- a/crates/policy/tests/losses.rs
+++ b/crates/policy/tests/losses.rs
@@ -62,3 +62,44 @@
         assert_eq!(quarantine.decide(1, now), Decision::Run, "a success clears it");
     }
 }
+
+/// Guards against a failure of many leafs at once that makes suspects of its victims: a query goes to
+/// many leafs, so chance alone loses it twice. A request that is lost while others are answered, or
+/// that is lost at all leafs while it is the only one, stays a suspect.
+#[test]
+fn two_losses_make_no_suspect_while_many_others_are_lost() {
+    for (others_lost, is_suspect) in [(0, true), (5, true), (40, false)] {
+        let (mut losses, now) = (Losses::default(), Instant::now());
+        for request in 0..100 {
+            if request < others_lost {
+                losses.record(1_000 + request, &SERVICE, &LEAFS[2], true, now);
+            } else {
+                losses.record_answer(now);
+            }
+        }
+        losses.record(1, &SERVICE, &LEAFS[0], true, now);
+        let leafs = losses.record(1, &SERVICE, &LEAFS[1], true, now);
+        assert_eq!(!leafs.is_empty(), is_suspect, "{others_lost} of 100 others lost");
+    }
+    let (mut losses, now) = (Losses::default(), Instant::now());
+    let suspects = (0..90).filter(|shard| {
+        let service = format!("shard-{shard}").into();
+        losses.record(1, &service, &LEAFS[0], true, now);
+        !losses.record(1, &service, &LEAFS[1], true, now).is_empty()
+    });
+    assert_eq!(suspects.count(), 90);
+}
+
+/// Guards against a bound on suspects of each instance that grows with the fleet.
+#[test]
+fn first_losses_that_make_suspects_are_bounded_over_all_instances() {
+    for (instances, bound) in [(1, 10), (80, 1), (300, 1)] {
+        let (mut losses, now) = (Losses::default(), Instant::now());
+        losses.set_instances(instances);
+        let suspects = (0..10_000).filter(|index| {
+            let at = now + Duration::from_millis(*index);
+            !losses.record(*index, &SERVICE, &LEAFS[0], false, at).is_empty()
+        });
+        assert_eq!(suspects.count(), bound, "{instances} instances");
+    }
+}
