--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -307,8 +307,7 @@
     context.reachability.record_answer(now());
     let (head, body) = response.into_parts();
     let names = &context.names;
-    let echoed = text(&head.headers, &names.request_id);
-    if echoed.is_some_and(|echoed| echoed != outgoing.id) {
+    if !is_own_response(leaf, outgoing, context, &head, lease.connect_time.is_none()) {
         // The connection is dropped: what it still holds belongs to another request.
         return (Outcome::Lost("response to another request".into()), None);
     }
@@ -374,6 +373,27 @@
     (Outcome::Answered(Answer { status: head.status, headers, body, signature }), time)
 }
 
+/// Returns whether a response is one to this request. On a connection that is `reused`, a success
+/// without an id may be a late copy of an earlier answer if the leaf states the id otherwise.
+fn is_own_response(
+    leaf: &Leaf,
+    outgoing: &Outgoing,
+    context: &Context,
+    head: &response::Parts,
+    reused: bool,
+) -> bool {
+    match text(&head.headers, &context.names.request_id) {
+        Some(echoed) => {
+            let is_own = echoed == outgoing.id;
+            if is_own && head.status.is_success() {
+                leaf.record_echo();
+            }
+            is_own
+        }
+        None => !(reused && head.status.is_success() && leaf.echoes_ids()),
+    }
+}
+
 /// Logs a header of a leaf whose value is not defined.
 #[cold]
 fn log_invalid(leaf: &Leaf, name: &HeaderName, value: &HeaderValue) {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -33,6 +33,9 @@
 
 /// Largest message, in bytes.
 const MESSAGE_BYTES_MAX: usize = 4 << 20;
+/// Header with the id of a message, which its reply states too, so that a late copy of another reply
+/// is not taken for it.
+const CALL_ID_HEADER: &str = "x-call-id";
 /// Timeout for receiving the body of a message.
 const BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -122,14 +125,19 @@
         let Some(service) = self.services.get(request.uri().path()).cloned() else {
             return reply(StatusCode::NOT_FOUND, Vec::new());
         };
+        let id = request.headers().get(CALL_ID_HEADER).cloned();
         let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect();
         let Ok(Ok(body)) = timeout(BODY_TIMEOUT, body).await else {
             return reply(StatusCode::BAD_REQUEST, Vec::new());
         };
-        match service.respond(&body.to_bytes()).await {
+        let mut reply = match service.respond(&body.to_bytes()).await {
             Ok(body) => reply(StatusCode::OK, body),
             Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
+        };
+        if let Some(id) = id {
+            reply.headers_mut().insert(CALL_ID_HEADER, id);
         }
+        reply
     }
 }
 
@@ -158,14 +166,21 @@
 ) -> Result<R, Error> {
     let message = encode(message)?;
     let sent = message.len();
+    let id = format_smolstr!("{:016x}", rand::random::<u64>());
     let request = Request::post(path)
         .header("host", "peer")
+        .header(CALL_ID_HEADER, id.as_str())
         .body(Full::new(Bytes::from(message)))
         .map_err(invalid)?;
     let response = client.call(request, time_limit).await;
     let received = response.as_ref().map_or(0, |response| response.body().len());
     counter.record(sent, received);
     let response = response?;
+    // Instances of older versions don't state the id.
+    if response.headers().get(CALL_ID_HEADER).is_some_and(|stated| stated != id.as_str()) {
+        client.close_idle();
+        return Err(Error::Lost("reply to another message".into()));
+    }
     if response.status() != StatusCode::OK {
         return Err(Error::Rejected(response.status().as_u16()));
     }
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -5,6 +5,7 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -42,6 +43,8 @@
     pool: Pool,
     /// Number of isolated runs at the leaf.
     isolated_runs: AtomicUsize,
+    /// Whether a success stated the id of its request.
+    echoes_ids: AtomicBool,
     rate_limit: LeafLimit,
     rest: LeafRest,
 }
@@ -96,6 +99,7 @@
             revision: AtomicU64::new(revision),
             entry: Mutex::new(entry),
             isolated_runs: AtomicUsize::new(0),
+            echoes_ids: AtomicBool::new(false),
             rate_limit: LeafLimit::default(),
             rest: LeafRest::default(),
         }
@@ -171,6 +175,16 @@
         lock(&self.stats)
     }
 
+    /// Records that a success of the leaf stated the id of its request.
+    pub(crate) fn record_echo(&self) {
+        self.echoes_ids.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether successes of the leaf state the ids of their requests.
+    pub(crate) fn echoes_ids(&self) -> bool {
+        self.echoes_ids.load(Ordering::Relaxed)
+    }
+
     /// Returns whether a suspect runs isolated at the leaf.
     pub(crate) fn runs_isolated(&self) -> bool {
         self.isolated_runs.load(Ordering::Relaxed) > 0
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -86,10 +86,14 @@
 }
 
 pub fn entry(server: &Server, service: &str) -> Entry {
+    entry_at(server.id(), service, server.address())
+}
+
+pub fn entry_at(id: &str, service: &str, address: SocketAddr) -> Entry {
     Entry {
-        id: server.id().clone(),
+        id: id.into(),
         service: service.into(),
-        address: server.address(),
+        address,
         failure_domain: "a".into(),
         slots: 3,
         state: State::Ready,
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -88,6 +88,12 @@
         self.address
     }
 
+    /// Closes the idle connections. A caller that got the reply to another request can't trust what they
+    /// still hold.
+    pub fn close_idle(&self) {
+        self.lock().clear();
+    }
+
     /// Sends a request and reads the whole reply within `time_limit`.
     ///
     /// # Errors
