Wait for other instances before reading the catalog at the start

All 295 instances listed the configuration themselves, since none had it yet, and 221 the leafs, since the wait for other instances ended with the first one found. An instance that had listed nothing also passed for one that knows that there are no leafs.

Change: at the first start reads wait 1.5 s. A list waits up to 0.3 s for an upstream instance that has nothing yet; one that has read the catalog tells that there is no configuration; a list of leafs without a revision is not used.

--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -341,7 +341,7 @@
         let config = self.wanted_config(poll.version).is_some();
         let leafs = match poll.revision {
             Wanted::Nothing => false,
-            Wanted::All => true,
+            Wanted::All => directory.revision() > 0,
             Wanted::After(known) => directory.last_change() > known,
         };
         config || leafs
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,7 +21,7 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::time::Instant;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::call;
 use crate::catalog::Catalog;
@@ -47,11 +47,13 @@
 const FOLLOWERS_MAX: usize = 16;
 /// Time for which an instance is not used as upstream after it failed.
 const FAILED_PEER_BACKOFF: Duration = Duration::from_secs(4);
-/// Longest time for which reads wait until other instances are discovered, at the first start of a
-/// fleet.
-const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(700);
-/// Interval at which a waiting read checks for discovered instances.
-const DISCOVERY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which reads wait until other instances are discovered, at the first start of a fleet. The
+/// lists of instances are complete after a few rounds of [`peer`]. With 700 ms, and a wait that ended
+/// with the first instance found, all of 295 instances read the catalog themselves.
+const DISCOVERY_TIME: Duration = Duration::from_millis(1_500);
+/// Longest time for which a list waits at the start for an upstream instance that has just started
+/// too. When all instances restart at once, only a few then read the catalog.
+const START_WAIT: Duration = Duration::from_millis(300);
 
 /// Catalog that is read through another instance where possible.
 pub struct Relay {
@@ -82,12 +84,11 @@
         }
     }
 
-    /// Lets reads wait for a moment until other instances are discovered. This is for the first
-    /// start of a fleet, when no callers wait yet; an instance that starts later must serve at
-    /// once.
+    /// Lets reads wait until other instances are discovered. This is for the first start of a fleet,
+    /// when no callers wait yet; an instance that starts later must serve at once.
     pub fn with_first_start(mut self, first_start: bool) -> Self {
         if first_start {
-            self.discovery_deadline = Instant::now() + DISCOVERY_TIMEOUT;
+            self.discovery_deadline = Instant::now() + DISCOVERY_TIME;
         }
         self
     }
@@ -123,7 +124,9 @@
         revision: Wanted<Revision>,
         wait: Duration,
     ) -> Option<Update> {
+        let end = Instant::now() + wait;
         while let Some((peer, client)) = self.upstream() {
+            let wait = end.saturating_duration_since(Instant::now());
             let poll = Poll {
                 from: self.peers.own_address(),
                 failure_domain: self.peers.failure_domain().clone(),
@@ -145,12 +148,6 @@
         None
     }
 
-    async fn wait_for_peers(&self) {
-        while self.peers.same_domain().is_empty() && Instant::now() < self.discovery_deadline {
-            sleep(DISCOVERY_INTERVAL).await;
-        }
-    }
-
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -177,12 +174,16 @@
 #[async_trait]
 impl Catalog for Relay {
     async fn config(&self, time: Duration) -> Result<Listing<ParsedConfig>> {
-        self.wait_for_peers().await;
-        match self
-            .poll_upstream(Wanted::newer(self.gateway.directory()), Wanted::Nothing, Duration::ZERO)
-            .await
-        {
+        sleep_until(self.discovery_deadline).await;
+        let wanted = Wanted::newer(self.gateway.directory());
+        let wait = if wanted == Wanted::All { START_WAIT } else { Duration::ZERO };
+        match self.poll_upstream(wanted, Wanted::Nothing, wait).await {
             Some(update) if update.config.is_some() => Ok(config_listing(update)),
+            // The upstream instance has read the catalog, and there is no configuration yet. If this
+            // one has to read the catalog later, it begins with a list.
+            Some(update) if wanted == Wanted::All && update.revision > 0 => {
+                Ok(Listing { items: Vec::new(), revision: 0 })
+            }
             _ => self.catalog.config(time).await,
         }
     }
@@ -209,10 +210,11 @@
     }
 
     async fn leafs(&self, time: Duration) -> Result<Listing<Item>> {
-        self.wait_for_peers().await;
-        match self.poll_upstream(Wanted::Nothing, Wanted::All, Duration::ZERO).await {
-            Some(update) => Ok(leaf_listing(update)),
-            None => self.catalog.leafs(time).await,
+        sleep_until(self.discovery_deadline).await;
+        match self.poll_upstream(Wanted::Nothing, Wanted::All, START_WAIT).await {
+            // An instance that has just started knows no leafs.
+            Some(update) if update.revision > 0 => Ok(leaf_listing(update)),
+            _ => self.catalog.leafs(time).await,
         }
     }
 
