Answer requests that have just arrived when an instance closes its listeners

Change: the listener takes over what waits, a kept connection is polled once more, and the instance does not end before.

--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -199,6 +199,8 @@
         self.phase.send_replace(Phase::Leaving);
         sleep_until((started + BALANCER_REMOVAL_TIME).min(end)).await;
         self.phase.send_replace(Phase::Closing);
+        // The listeners take over the connections that wait to be accepted.
+        sleep_until((Instant::now() + DRAIN_CHECK_INTERVAL).min(end)).await;
         let in_progress =
             || self.connections.count() + self.delegated_running.load(Ordering::Relaxed);
         while in_progress() > 0 && Instant::now() < end {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use futures_util::FutureExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header;
@@ -23,6 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::answer::Reply;
@@ -118,18 +120,25 @@
     connections: Connections,
 ) {
     let phases = phase.clone();
+    let start = |stream| {
+        let open = OpenGuard::new(&connections);
+        tokio::spawn(serve(stream, handler.clone(), phases.clone(), open));
+    };
     loop {
         tokio::select! {
+            biased;
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    let open = OpenGuard::new(&connections);
-                    tokio::spawn(serve(stream, handler.clone(), phases.clone(), open));
-                }
+                Ok((stream, _)) => start(stream),
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             },
-            () = wait_for_closing(&mut phase) => return,
+            () = wait_for_closing(&mut phase) => break,
         }
     }
+    // Connections that the system has accepted would be reset together with their requests.
+    yield_now().await;
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
+    }
 }
 
 async fn serve(
@@ -168,10 +177,13 @@
             .max_buf_size(limits.header_bytes.max(BUFFER_MIN_BYTES))
             .serve_connection(TokioIo::new(stream), service)
     );
-    // Errors are ignored: the caller closed the connection or violated the protocol.
+    // Errors are ignored: the caller closed the connection or violated the protocol. A request that
+    // has arrived but is not read yet would be cut off, so the connection is polled once more before
+    // it is closed.
     tokio::select! {
+        biased;
         _ = connection.as_mut() => return,
-        () = wait_for_closing(&mut phase) => {}
+        () = async { wait_for_closing(&mut phase).await; yield_now().await } => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
