Pause after each round of pushes and exchanges of suspects

Cause: after a round that pushes nothing, as the bounds hold it back, the next notification started another one at once. A failure of many leafs notifies for each lost request, and each round copies the list of instances.

Change: each round is followed by the pause.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -48,8 +48,9 @@
 const INITIAL_EXCHANGES: u32 = 3;
 /// Interval of the first regular exchanges.
 const INITIAL_INTERVAL: Duration = Duration::from_millis(300);
-/// Pause after a push, so that the crashes of one moment share one.
-const PUSH_PAUSE: Duration = Duration::from_millis(10);
+/// Pause between rounds, so that the crashes of one moment share a push, and a failure of many leafs
+/// costs no more than a hundred rounds a second.
+const ROUND_PAUSE: Duration = Duration::from_millis(10);
 /// Timeout of an exchange.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -118,7 +119,7 @@
             () = sleep_until(push_at.unwrap_or(next_exchange).min(next_exchange)) => {}
         }
         sender.refresh();
-        let pushed = sender.push(&mut pacer);
+        sender.push(&mut pacer);
         if Instant::now() >= next_exchange {
             let is_initial = rounds < INITIAL_EXCHANGES;
             if is_initial || !sender.gateway.quarantine().is_empty() {
@@ -129,9 +130,7 @@
             let jitter = rand::random_range(INTERVAL_JITTER);
             next_exchange = Instant::now() + interval.mul_f64(jitter);
         }
-        if pushed {
-            sleep(PUSH_PAUSE).await;
-        }
+        sleep(ROUND_PAUSE).await;
     }
 }
 
@@ -171,9 +170,8 @@
     }
 
     /// Pushes news to instances of the own region, and from the bridge of the region to one instance
-    /// of each other region, as far as the pacer allows. Returns whether it pushed any.
-    fn push(&mut self, pacer: &mut Pacer) -> bool {
-        let mut pushed = false;
+    /// of each other region, as far as the pacer allows.
+    fn push(&mut self, pacer: &mut Pacer) {
         let now = Instant::now().into_std();
         let quarantine = self.gateway.quarantine();
         if quarantine.has_news() && pacer.try_push(now) {
@@ -181,7 +179,6 @@
             let targets = self.peers.by_region().push_targets(self.peers.own_address());
             let targets = targets.into_iter().map(|peer| vec![peer]).collect();
             self.send_to_each(targets, Push { crossed: false, observations });
-            pushed = true;
         }
         let quarantine = self.gateway.quarantine();
         if let Some(with_refusals) = quarantine.has_crossing()
@@ -191,9 +188,7 @@
             let observations = quarantine.take_crossing(now);
             let targets = self.peers.by_region().crossing_targets();
             self.send_to_each(targets, Push { crossed: true, observations });
-            pushed = true;
         }
-        pushed
     }
 
     /// Sends a push to one instance of each list, the first one that answers.
