Ignore replies about leafs that are older than the catalog as it is known

Cause: an instance that has just started asks another one before it has read the catalog.

Change: a reply that is not newer than the revision known from the catalog adds and removes no leaf.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -158,7 +158,9 @@
     }
 
     /// Merges the entries that another instance knows up to `revision`. Later reports are kept, and
-    /// leafs that are not named are not removed, because the other instance may know fewer.
+    /// leafs that are not named are not removed, because the other instance may know fewer. If this
+    /// instance knows the catalog up to that revision or a later one, leafs that it does not list have
+    /// left, and removals say nothing new.
     pub fn merge(
         &self,
         entries: Vec<Entry>,
@@ -167,7 +169,11 @@
         now: Instant,
     ) {
         let mut state = self.lock();
+        let is_behind = state.revision > 0 && revision <= state.revision;
         for entry in entries {
+            if is_behind && !state.leafs.contains_key(&entry.id) {
+                continue;
+            }
             let known = state.leafs.get(&entry.id).map(|leaf| leaf.entry());
             let report = (entry.started_ms, entry.sequence);
             if known.is_some_and(|known| report <= (known.started_ms, known.sequence)) {
@@ -175,7 +181,7 @@
             }
             self.apply_item(&mut state, Item::Leaf(entry), revision, now);
         }
-        for id in removed {
+        for id in removed.into_iter().filter(|_| !is_behind) {
             self.apply_item(&mut state, Item::Removed(id), revision, now);
         }
         state.peer_revision = state.peer_revision.max(revision);
