Bound pushes by their messages, so that small fleets push news at once

An instance could push four times at once and then four times a second, also if a push is two messages.

Change: the bound is 32 messages at once and 16 a second; a push of a large region still costs four.

--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -162,7 +162,8 @@
     fn next_push(&self, pacer: &Pacer) -> Option<Instant> {
         let now = Instant::now();
         let quarantine = self.gateway.quarantine();
-        let near = quarantine.has_news().then(|| pacer.push_wait(now.into_std()));
+        let targets = self.peers.by_region().own.len();
+        let near = quarantine.has_news().then(|| pacer.push_wait(targets, now.into_std()));
         let crossing = quarantine.has_crossing().filter(|_| self.is_bridge());
         let crossing =
             crossing.map(|with_refusals| pacer.crossing_wait(with_refusals, now.into_std()));
@@ -174,9 +175,10 @@
     fn push(&mut self, pacer: &mut Pacer) {
         let now = Instant::now().into_std();
         let quarantine = self.gateway.quarantine();
-        if quarantine.has_news() && pacer.try_push(now) {
+        let regions = self.peers.by_region();
+        if quarantine.has_news() && pacer.try_push(regions.own.len(), now) {
             let observations = quarantine.take_news(gossip::PUSH_MAX, now);
-            let targets = self.peers.by_region().push_targets(self.peers.own_address());
+            let targets = regions.push_targets(self.peers.own_address());
             let targets = targets.into_iter().map(|peer| vec![peer]).collect();
             self.send_to_each(targets, Push { crossed: false, observations });
         }
--- a/crates/policy/src/gossip.rs
+++ b/crates/policy/src/gossip.rs
@@ -38,10 +38,11 @@
 const CROSSING_ROUNDS: f64 = 0.5;
 /// Most instances of another region that a push is sent to until one answers.
 const CROSSING_ATTEMPTS: usize = 3;
-/// Most pushes within the own region at once.
-const PUSH_BURST: f64 = 4.0;
-/// Pushes a second within the own region.
-const PUSHES_PER_S: f64 = 4.0;
+/// Most messages of pushes within the own region at once. With a burst of four pushes, two requests
+/// that crash leafs at three instances could crash ten of them before all instances knew.
+const PUSH_MESSAGES_BURST: f64 = 32.0;
+/// Messages of pushes a second within the own region.
+const PUSH_MESSAGES_PER_S: f64 = 16.0;
 /// Pushes a second of a bridge to other regions while there are refusals to tell.
 const REFUSAL_CROSSINGS_PER_S: f64 = 4.0;
 /// Pushes a second of a bridge to other regions otherwise.
@@ -67,18 +68,18 @@
         self.filled_at = now;
     }
 
-    fn try_take(&mut self, now: Instant) -> bool {
+    fn try_take(&mut self, count: f64, now: Instant) -> bool {
         self.fill(now);
-        let granted = self.tokens >= 1.0;
+        let granted = self.tokens >= count;
         if granted {
-            self.tokens -= 1.0;
+            self.tokens -= count;
         }
         granted
     }
 
-    fn wait(&self, now: Instant) -> Duration {
+    fn wait(&self, count: f64, now: Instant) -> Duration {
         let elapsed_s = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        let missing = 1.0 - self.tokens - elapsed_s * self.per_s;
+        let missing = count - self.tokens - elapsed_s * self.per_s;
         Duration::from_secs_f64((missing / self.per_s).max(0.0))
     }
 }
@@ -95,32 +96,32 @@
     /// Creates the bounds of an instance that has not pushed anything yet.
     pub fn new(now: Instant) -> Self {
         Self {
-            pushes: Bucket::new(PUSH_BURST, PUSHES_PER_S, now),
+            pushes: Bucket::new(PUSH_MESSAGES_BURST, PUSH_MESSAGES_PER_S, now),
             crossings: Bucket::new(1.0, CROSSINGS_PER_S, now),
             refusal_crossings: Bucket::new(1.0, REFUSAL_CROSSINGS_PER_S, now),
         }
     }
 
-    /// Takes a push within the own region; returns whether it is allowed now.
-    pub fn try_push(&mut self, now: Instant) -> bool {
-        self.pushes.try_take(now)
+    /// Takes a push to `targets` instances of the own region; returns whether it is allowed now.
+    pub fn try_push(&mut self, targets: usize, now: Instant) -> bool {
+        self.pushes.try_take(targets.min(PUSH_PEERS) as f64, now)
     }
 
     /// Takes a push to each other region, with refusals or without; returns whether it is allowed now.
     pub fn try_cross(&mut self, with_refusals: bool, now: Instant) -> bool {
         let bucket = if with_refusals { &mut self.refusal_crossings } else { &mut self.crossings };
-        bucket.try_take(now)
+        bucket.try_take(1.0, now)
     }
 
-    /// Returns the time until a push within the own region is allowed.
-    pub fn push_wait(&self, now: Instant) -> Duration {
-        self.pushes.wait(now)
+    /// Returns the time until a push to `targets` instances of the own region is allowed.
+    pub fn push_wait(&self, targets: usize, now: Instant) -> Duration {
+        self.pushes.wait(targets.min(PUSH_PEERS) as f64, now)
     }
 
     /// Returns the time until a push to other regions, with refusals or without, is allowed.
     pub fn crossing_wait(&self, with_refusals: bool, now: Instant) -> Duration {
         let bucket = if with_refusals { &self.refusal_crossings } else { &self.crossings };
-        bucket.wait(now)
+        bucket.wait(1.0, now)
     }
 }
 
--- a/crates/policy/tests/gossip.rs
+++ b/crates/policy/tests/gossip.rs
@@ -91,7 +91,7 @@
         for from in 0..self.instances.len() {
             let regions = self.regions(from);
             let (quarantine, pacer) = &mut self.instances[from];
-            if quarantine.has_news() && pacer.try_push(now) {
+            if quarantine.has_news() && pacer.try_push(regions.own.len(), now) {
                 let news = quarantine.take_news(gossip::PUSH_MAX, now);
                 for to in regions.push_targets(from) {
                     self.instances[to].0.receive(news.clone(), Source::OwnRegion, now);
