--- /dev/null
+++ b/review/src/leaf.rs
@@ -0,0 +1,220 @@
+//! Stand-in for a leaf: slots, a short queue, the id that a request expects, and its answers.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::http::Message;
+use crate::http::Reader;
+use crate::http::respond;
+use crate::record::Record;
+
+/// Requests that wait for a slot; a leaf rejects further ones.
+const QUEUE: usize = 12;
+/// Interval at which a waiting or running request checks whether its connection is still open.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Arrival of a request at a leaf.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at_ms: u64,
+    pub leaf: String,
+    pub id: String,
+}
+
+/// Properties of a leaf.
+#[derive(Clone, Debug)]
+pub struct Config {
+    pub id: String,
+    pub service: String,
+    pub zone: String,
+    pub slots: usize,
+    pub connections_max: usize,
+}
+
+struct Shared {
+    config: Config,
+    work_ms: AtomicU64,
+    connections: AtomicUsize,
+    /// Running and waiting requests.
+    load: Mutex<(usize, usize)>,
+    changed: Condvar,
+    arrivals: Mutex<Vec<Arrival>>,
+    record: Arc<Record>,
+}
+
+/// Leaf at a loopback address.
+pub struct Leaf {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Leaf {
+    /// Starts a leaf whose requests take `work_ms`.
+    pub fn start(config: Config, work_ms: u64, record: Arc<Record>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let shared = Arc::new(Shared {
+            config,
+            work_ms: AtomicU64::new(work_ms),
+            connections: AtomicUsize::new(0),
+            load: Mutex::default(),
+            changed: Condvar::new(),
+            arrivals: Mutex::default(),
+            record,
+        });
+        let accepting = shared.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = accepting.clone();
+                if shared.connections.fetch_add(1, Ordering::SeqCst)
+                    >= shared.config.connections_max
+                {
+                    shared.connections.fetch_sub(1, Ordering::SeqCst);
+                    continue;
+                }
+                thread::spawn(move || {
+                    serve(&stream, &shared);
+                    shared.connections.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Self { address, shared }
+    }
+
+    /// Sets the time that requests take from now on.
+    pub fn set_work_ms(&self, work_ms: u64) {
+        self.shared.work_ms.store(work_ms, Ordering::SeqCst);
+    }
+
+    /// Returns the entry that the leaf writes about itself.
+    pub fn entry(&self, state: &str, sequence: u64) -> String {
+        let Config { service, zone, slots, .. } = &self.shared.config;
+        format!(
+            "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+             \"slots\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{sequence},\
+             \"born\":1790000000000}}",
+            self.address
+        )
+    }
+
+    pub fn id(&self) -> &str {
+        &self.shared.config.id
+    }
+
+    /// Returns the requests that have arrived.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.arrivals.lock().unwrap().clone()
+    }
+}
+
+fn serve(stream: &TcpStream, shared: &Shared) {
+    let _ = stream.set_nodelay(true);
+    let Ok(reading) = stream.try_clone() else { return };
+    let mut reader = Reader::new(reading);
+    while let Ok(Some(request)) = reader.next() {
+        if handle(stream, shared, &request).is_none() {
+            return;
+        }
+    }
+}
+
+/// Answers a request; `None` ends the connection.
+fn handle(stream: &TcpStream, shared: &Shared, request: &Message) -> Option<()> {
+    let config = &shared.config;
+    let id = request.header("jaycrank-request-id").unwrap_or_default().to_owned();
+    let at_ms = shared.record.now_ms();
+    let expected = request.header("jaycrank-expect-instance");
+    let is_expected = expected.is_none_or(|expected| expected == config.id);
+    let is_admitted = is_expected && enter(shared);
+    shared.record.line(&format!(
+        "{}: {id} arrives, deadline {} ms, {}",
+        config.id,
+        request.header("jaycrank-deadline-ms").unwrap_or("none"),
+        if is_admitted { "accepted" } else { "rejected" }
+    ));
+    let arrival = Arrival { at_ms, leaf: config.id.clone(), id: id.clone() };
+    shared.arrivals.lock().unwrap().push(arrival);
+    let echo = ("jaycrank-request-id", id.clone());
+    if !is_expected {
+        let own = ("jaycrank-instance-id", config.id.clone());
+        return respond(stream, "421 Misdirected Request", &[own, echo], b"").ok();
+    }
+    let not_run = ("jaycrank-not-executed", "1".to_owned());
+    if !is_admitted {
+        let headers = [echo, not_run, load(shared)];
+        return respond(stream, "503 Service Unavailable", &headers, b"").ok();
+    }
+    let ended = run(stream, shared, &id);
+    leave(shared);
+    ended?;
+    let stamp = ("jaycrank-response-stamp", format!("{}/{id}", config.id));
+    let body = format!("{:-<16}", config.id);
+    respond(stream, "200 OK", &[echo, stamp, load(shared)], body.as_bytes()).ok()
+}
+
+/// Counts a request as waiting; returns whether there was room for it.
+fn enter(shared: &Shared) -> bool {
+    let mut load = shared.load.lock().unwrap();
+    let has_room = load.0 < shared.config.slots || load.1 < QUEUE;
+    if has_room {
+        load.1 += 1;
+    }
+    has_room
+}
+
+/// Waits for a slot and works; `None` if the connection was closed meanwhile. The request counts
+/// as running when this returns.
+fn run(stream: &TcpStream, shared: &Shared, id: &str) -> Option<()> {
+    let mut load = shared.load.lock().unwrap();
+    let mut is_open = true;
+    while load.0 >= shared.config.slots && is_open {
+        load = shared.changed.wait_timeout(load, CHECK_INTERVAL).unwrap().0;
+        is_open = is_connected(stream);
+    }
+    *load = (load.0 + 1, load.1 - 1);
+    drop(load);
+    if !is_open {
+        return None;
+    }
+    shared.record.line(&format!("{}: {id} runs", shared.config.id));
+    let mut left = Duration::from_millis(shared.work_ms.load(Ordering::SeqCst));
+    while !left.is_zero() {
+        sleep(left.min(CHECK_INTERVAL));
+        left = left.saturating_sub(CHECK_INTERVAL);
+        if !is_connected(stream) {
+            return None;
+        }
+    }
+    Some(())
+}
+
+fn leave(shared: &Shared) {
+    shared.load.lock().unwrap().0 -= 1;
+    shared.changed.notify_all();
+}
+
+fn load(shared: &Shared) -> (&'static str, String) {
+    let (running, waiting) = *shared.load.lock().unwrap();
+    ("jaycrank-server-load", format!("{running},{waiting},{}", shared.config.slots))
+}
+
+fn is_connected(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let peeked = stream.peek(&mut [0]);
+    let _ = stream.set_nonblocking(false);
+    match peeked {
+        Ok(bytes) => bytes > 0,
+        Err(error) => error.kind() == ErrorKind::WouldBlock,
+    }
+}
