--- a/review/src/deployment.rs
+++ b/review/src/deployment.rs
@@ -12,6 +12,9 @@
 /// Bound of the settings: time for which a machine must run undisturbed to be in touch.
 pub const STABILITY_WINDOW_MS: u64 = 4_000;
 
+/// End of the path of the request that crashes leafs.
+pub const DEADLY: &str = "/deadly";
+
 /// Returns a route to one service as JSON.
 pub fn route(name: &str, prefix: &str, kind: &str, timeout_ms: u64, service: &str) -> String {
     format!(
@@ -21,6 +24,17 @@
     )
 }
 
+/// Returns a route over the shards of the deployment as JSON.
+pub fn gather(name: &str, prefix: &str, timeout_ms: u64, services: &[&str]) -> String {
+    let services: Vec<String> = services.iter().map(|name| format!("\"{name}\"")).collect();
+    format!(
+        "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"pathPrefix\":\"{prefix}\",\
+         \"kind\":\"safe\",\"timeoutMs\":{timeout_ms},\"targetLatencyMs\":120,\"priority\":1,\
+         \"gather\":[{}],\"maxAttempts\":2,\"topK\":10,\"minCoverage\":0.75}}",
+        services.join(",")
+    )
+}
+
 /// Returns a configuration as JSON.
 pub fn config(version: u64, routes: &[String], services: &[&str]) -> String {
     let services: Vec<String> = services
@@ -49,6 +63,7 @@
         zone: "erie-toledo".to_owned(),
         slots: 3,
         connections_max: 41,
+        deadly: Some(DEADLY),
     };
     Leaf::start(config, work_ms, record.clone())
 }
--- a/review/src/leaf.rs
+++ b/review/src/leaf.rs
@@ -1,12 +1,14 @@
 //! Stand-in for a leaf: slots, a short queue, the id that a request expects, and its answers.
 
 use std::io::ErrorKind;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -23,6 +25,12 @@
 const QUEUE: usize = 12;
 /// Interval at which a waiting or running request checks whether its connection is still open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval at which a leaf looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+/// Time for which a leaf is down after a crash.
+const DOWNTIME: Duration = Duration::from_secs(3);
+/// Unix millisecond of the first start of each leaf.
+const BORN_MS: u64 = 1_790_000_000_000;
 
 /// Arrival of a request at a leaf.
 #[derive(Clone, Debug)]
@@ -40,6 +48,8 @@
     pub zone: String,
     pub slots: usize,
     pub connections_max: usize,
+    /// End of the paths of requests that crash the leaf when they begin to run.
+    pub deadly: Option<&'static str>,
 }
 
 struct Shared {
@@ -49,6 +59,11 @@
     /// Running and waiting requests.
     load: Mutex<(usize, usize)>,
     changed: Condvar,
+    /// Open connections, which a crash breaks.
+    streams: Mutex<Vec<TcpStream>>,
+    crashed: AtomicBool,
+    /// Number of starts after crashes.
+    restarts: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
     record: Arc<Record>,
 }
@@ -70,25 +85,14 @@
             connections: AtomicUsize::new(0),
             load: Mutex::default(),
             changed: Condvar::new(),
+            streams: Mutex::default(),
+            crashed: AtomicBool::new(false),
+            restarts: AtomicU64::new(0),
             arrivals: Mutex::default(),
             record,
         });
         let accepting = shared.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let shared = accepting.clone();
-                if shared.connections.fetch_add(1, Ordering::SeqCst)
-                    >= shared.config.connections_max
-                {
-                    shared.connections.fetch_sub(1, Ordering::SeqCst);
-                    continue;
-                }
-                thread::spawn(move || {
-                    serve(&stream, &shared);
-                    shared.connections.fetch_sub(1, Ordering::SeqCst);
-                });
-            }
-        });
+        thread::spawn(move || accept(listener, address, &accepting));
         Self { address, shared }
     }
 
@@ -103,11 +107,17 @@
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{sequence},\
-             \"born\":1790000000000}}",
-            self.address
+             \"born\":{}}}",
+            self.address,
+            BORN_MS + self.restarts() * 10_000
         )
     }
 
+    /// Returns how often the leaf has started again.
+    pub fn restarts(&self) -> u64 {
+        self.shared.restarts.load(Ordering::SeqCst)
+    }
+
     pub fn id(&self) -> &str {
         &self.shared.config.id
     }
@@ -118,6 +128,47 @@
     }
 }
 
+/// Accepts connections, and none while the leaf is down after a crash.
+fn accept(listener: TcpListener, address: SocketAddr, shared: &Arc<Shared>) {
+    let mut listener = Some(listener);
+    loop {
+        if shared.crashed.load(Ordering::SeqCst) {
+            drop(listener.take());
+            sleep(DOWNTIME);
+            shared.crashed.store(false, Ordering::SeqCst);
+            shared.restarts.fetch_add(1, Ordering::SeqCst);
+            shared.record.line(&format!("{}: starts again", shared.config.id));
+        }
+        let listening = listener.get_or_insert_with(|| TcpListener::bind(address).unwrap());
+        listening.set_nonblocking(true).unwrap();
+        let Ok((stream, _)) = listening.accept() else {
+            sleep(ACCEPT_INTERVAL);
+            continue;
+        };
+        stream.set_nonblocking(false).unwrap();
+        if shared.connections.fetch_add(1, Ordering::SeqCst) >= shared.config.connections_max {
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+            continue;
+        }
+        shared.streams.lock().unwrap().extend(stream.try_clone());
+        let shared = shared.clone();
+        thread::spawn(move || {
+            serve(&stream, &shared);
+            shared.connections.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+}
+
+/// Breaks all connections, as the end of the process does.
+fn crash(shared: &Shared, id: &str) {
+    shared.crashed.store(true, Ordering::SeqCst);
+    shared.record.line(&format!("{}: crashed by {id}", shared.config.id));
+    for stream in shared.streams.lock().unwrap().drain(..) {
+        // The connection may be closed already.
+        let _ = stream.shutdown(Shutdown::Both);
+    }
+}
+
 fn serve(stream: &TcpStream, shared: &Shared) {
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
@@ -155,7 +206,8 @@
         let headers = [echo, not_run, load(shared)];
         return respond(stream, "503 Service Unavailable", &headers, b"").ok();
     }
-    let ended = run(stream, shared, &id);
+    let path = request.target();
+    let ended = run(stream, shared, &id, path);
     leave(shared);
     ended?;
     let stamp = ("jaycrank-response-stamp", format!("{}/{id}", config.id));
@@ -175,7 +227,7 @@
 
 /// Waits for a slot and works; `None` if the connection was closed meanwhile. The request counts
 /// as running when this returns.
-fn run(stream: &TcpStream, shared: &Shared, id: &str) -> Option<()> {
+fn run(stream: &TcpStream, shared: &Shared, id: &str, path: &str) -> Option<()> {
     let mut load = shared.load.lock().unwrap();
     let mut is_open = true;
     while load.0 >= shared.config.slots && is_open {
@@ -188,6 +240,10 @@
         return None;
     }
     shared.record.line(&format!("{}: {id} runs", shared.config.id));
+    if shared.config.deadly.is_some_and(|deadly| path.ends_with(deadly)) {
+        crash(shared, id);
+        return None;
+    }
     let mut left = Duration::from_millis(shared.work_ms.load(Ordering::SeqCst));
     while !left.is_zero() {
         sleep(left.min(CHECK_INTERVAL));
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -3,6 +3,7 @@
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
 mod client;
+mod crash_again;
 mod deployment;
 mod drain_waiting;
 mod http;
@@ -42,6 +43,7 @@
     record.line(&format!("case {name}, with the disruption: {trouble}"));
     let outcome = match name.as_str() {
         "drain-waiting" => drain_waiting::run(&record, trouble),
+        "crash-again" => crash_again::run(&record, trouble),
         "stop-waiting" => stop_waiting::run(&record, trouble),
         "unreadable-entry" => unreadable_entry::run(&record, trouble),
         _ => Outcome::NotRun("no such case".to_owned()),
