Review case 5: a cut watch keeps a leaf that is gone in use

Cause: a watch that is cut off counts as an outage of the store, after which lapsed leafs stay eligible.

--- a/review/src/crash_again.rs
+++ b/review/src/crash_again.rs
@@ -33,7 +33,7 @@
 const PATH: &str = "/check/deadly";
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let store = Store::start(record.clone(), None);
+    let store = Store::start(record.clone());
     let leafs: Vec<Leaf> = SHARDS
         .iter()
         .flat_map(|shard| (0..LEAFS_PER_SHARD).map(move |index| (shard, index)))
--- a/review/src/drain_waiting.rs
+++ b/review/src/drain_waiting.rs
@@ -28,7 +28,7 @@
 const REQUESTS: u32 = SLOW_FROM + 11 * 16;
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let store = Store::start(record.clone(), None);
+    let store = Store::start(record.clone());
     let leafs: Vec<Leaf> = ["i-4c1a07e2", "i-91bd33f0"]
         .iter()
         .map(|id| deployment::leaf(id, "reorder-lists", WORK_MS, record))
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -13,6 +13,7 @@
 mod stop_waiting;
 mod store;
 mod unreadable_entry;
+mod watch_cut;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -45,6 +46,7 @@
         "drain-waiting" => drain_waiting::run(&record, trouble),
         "crash-again" => crash_again::run(&record, trouble),
         "stop-waiting" => stop_waiting::run(&record, trouble),
+        "watch-cut" => watch_cut::run(&record, trouble),
         "unreadable-entry" => unreadable_entry::run(&record, trouble),
         _ => Outcome::NotRun("no such case".to_owned()),
     };
--- a/review/src/stop_waiting.rs
+++ b/review/src/stop_waiting.rs
@@ -25,7 +25,7 @@
 const GRACE: Duration = Duration::from_secs(6);
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let store = Store::start(record.clone(), None);
+    let store = Store::start(record.clone());
     let leaf = deployment::leaf("i-4c1a07e2", "reorder-lists", WORK_MS, record);
     let route = deployment::route("scan", "/scan/", "safe", 6_000, "reorder-lists");
     store.put("config", "main", &deployment::config(7, &[route], &["reorder-lists"]));
--- a/review/src/store.rs
+++ b/review/src/store.rs
@@ -33,6 +33,8 @@
     revision: u64,
     objects: BTreeMap<(String, String), (u64, String)>,
     history: Vec<Change>,
+    /// Number of times that waiting watches were cut off.
+    cuts: u64,
 }
 
 /// Store at a loopback address.
@@ -43,8 +45,8 @@
 }
 
 impl Store {
-    /// Starts an empty store. It cuts watches off that have waited for `watch_cut`, if that is set.
-    pub fn start(record: Arc<Record>, watch_cut: Option<Duration>) -> Self {
+    /// Starts an empty store.
+    pub fn start(record: Arc<Record>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let state = State { revision: 100, ..State::default() };
@@ -53,7 +55,7 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let shared = connections.clone();
-                thread::spawn(move || serve(stream, &shared, watch_cut));
+                thread::spawn(move || serve(stream, &shared));
             }
         });
         Self { address, shared, record }
@@ -73,6 +75,14 @@
         self.change(kind, name, None)
     }
 
+    /// Cuts all waiting watches off.
+    pub fn cut_watches(&self) {
+        let (state, changed) = &*self.shared;
+        state.lock().unwrap().cuts += 1;
+        changed.notify_all();
+        self.record.line("store: waiting watches are cut off");
+    }
+
     fn change(&self, kind: &str, name: &str, spec: Option<&str>) -> u64 {
         let (state, changed) = &*self.shared;
         let mut state = state.lock().unwrap();
@@ -92,12 +102,12 @@
     }
 }
 
-fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar), watch_cut: Option<Duration>) {
+fn serve(stream: TcpStream, shared: &(Mutex<State>, Condvar)) {
     let _ = stream.set_nodelay(true);
     let Ok(reading) = stream.try_clone() else { return };
     let mut reader = Reader::new(reading);
     while let Ok(Some(request)) = reader.next() {
-        let Some(body) = answer(&request, shared, watch_cut) else { return };
+        let Some(body) = answer(&request, shared) else { return };
         let json = [("content-type", "application/json".to_owned())];
         if respond(&stream, "200 OK", &json, body.as_bytes()).is_err() {
             return;
@@ -106,11 +116,7 @@
 }
 
 /// Returns the body of the answer, or `None` if the connection is cut off instead.
-fn answer(
-    request: &Message,
-    (state, changed): &(Mutex<State>, Condvar),
-    watch_cut: Option<Duration>,
-) -> Option<String> {
+fn answer(request: &Message, (state, changed): &(Mutex<State>, Condvar)) -> Option<String> {
     let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
     let kind = path.trim_start_matches("/jaycrank/objects/");
     let parameter = |name: &str| {
@@ -123,7 +129,7 @@
     };
     let after: u64 = after.parse().unwrap_or(0);
     let wait_ms = parameter("waitMs").and_then(|(_, wait)| wait.parse().ok()).unwrap_or(0);
-    let started = Instant::now();
+    let (started, cuts) = (Instant::now(), state.cuts);
     let wait = Duration::from_millis(wait_ms);
     loop {
         let news = |change: &&Change| change.revision > after && change.kind == kind;
@@ -132,7 +138,7 @@
             let revision = state.revision;
             return Some(format!("{{\"events\":[{}],\"atRev\":{revision}}}", events.join(",")));
         }
-        if watch_cut.is_some_and(|cut| started.elapsed() >= cut) {
+        if state.cuts > cuts {
             return None;
         }
         state = changed.wait_timeout(state, Duration::from_millis(20)).unwrap().0;
--- a/review/src/unreadable_entry.rs
+++ b/review/src/unreadable_entry.rs
@@ -22,7 +22,7 @@
 const UNREADABLE: &str = "{\"service\":\"\\udce9\",\"state\":\"ready\"}";
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
-    let store = Store::start(record.clone(), None);
+    let store = Store::start(record.clone());
     let leafs: Vec<_> = ["i-4c1a07e2", "i-91bd33f0"]
         .iter()
         .map(|id| deployment::leaf(id, "reorder-lists", WORK_MS, record))
