--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,5 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O -o target/review/cases review/src/main.rs
+rustc --edition 2024 -O -o target/review/cases.new review/src/main.rs
+mv target/review/cases.new target/review/cases
--- a/review/src/machine.rs
+++ b/review/src/machine.rs
@@ -48,11 +48,11 @@
         self.child = Some(command.spawn().expect("the program of the deploy file is not built"));
     }
 
-    /// Sends SIGTERM to the process, or another signal by its name.
-    pub fn signal(&self, name: &str) {
+    /// Asks the process to stop, by SIGTERM.
+    pub fn terminate(&self) {
         let Some(child) = &self.child else { return };
-        let id = child.id().to_string();
-        let status = Command::new("kill").args(["-s", name, &id]).status();
+        let command = format!("kill -TERM {}", child.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
         assert!(status.is_ok_and(|status| status.success()), "cannot signal the process");
     }
 
--- a/review/src/stop_waiting.rs
+++ b/review/src/stop_waiting.rs
@@ -42,7 +42,7 @@
         if trouble && number == STOPPED_AT {
             record.line("machine 0: SIGTERM");
             stopped_at = Some(record.now_ms());
-            fleet.machines[0].signal("TERM");
+            fleet.machines[0].terminate();
         }
         let id = format!("{:016x}", 0x57a9_0000 + u64::from(number));
         let path = format!("/scan/{number}");
