--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -1,4 +1,5 @@
-//! Cases of the review that run as scripts: `cases NAME FOLDER`.
+//! Cases of the review that run as scripts: `cases NAME FOLDER with|without`, with or without the
+//! disruption.
 //!
 //! Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
@@ -30,8 +31,8 @@
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, name, folder] = &arguments[..] else {
-        eprintln!("usage: cases NAME FOLDER");
+    let [_, name, folder, disruption] = &arguments[..] else {
+        eprintln!("usage: cases NAME FOLDER with|without");
         return ExitCode::from(2);
     };
     let path = PathBuf::from(folder).join("record.txt");
@@ -40,7 +41,7 @@
         return ExitCode::from(2);
     };
     let record = Arc::new(record);
-    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let trouble = disruption != "without";
     record.line(&format!("case {name}, with the disruption: {trouble}"));
     let outcome = match name.as_str() {
         "drain-waiting" => drain_waiting::run(&record, trouble),
