review: an entry with missing fields is used as a leaf

Cause: entries of other writers name no leaf, but three fields of an entry have defaults or aren't read. Change: case 1, with a stand-in for the other writer's server.

--- a/review/src/leaf.rs
+++ b/review/src/leaf.rs
@@ -27,7 +27,7 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval at which a leaf looks for new connections.
 const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
-/// Time for which a leaf is down after a crash.
+/// Time for which a leaf is down after a crash, unless the case says otherwise.
 const DOWNTIME: Duration = Duration::from_secs(3);
 /// Unix millisecond of the first start of each leaf.
 const BORN_MS: u64 = 1_790_000_000_000;
@@ -62,6 +62,7 @@
     /// Open connections, which a crash breaks.
     streams: Mutex<Vec<TcpStream>>,
     crashed: AtomicBool,
+    downtime_ms: AtomicU64,
     /// Number of starts after crashes.
     restarts: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
@@ -87,6 +88,7 @@
             changed: Condvar::new(),
             streams: Mutex::default(),
             crashed: AtomicBool::new(false),
+            downtime_ms: AtomicU64::new(DOWNTIME.as_millis() as u64),
             restarts: AtomicU64::new(0),
             arrivals: Mutex::default(),
             record,
@@ -101,15 +103,25 @@
         self.shared.work_ms.store(work_ms, Ordering::SeqCst);
     }
 
+    /// Ends the process of the leaf; it starts again under its id after `downtime`.
+    pub fn crash(&self, downtime: Duration) {
+        self.shared.downtime_ms.store(downtime.as_millis() as u64, Ordering::SeqCst);
+        crash(&self.shared, "srv_crash");
+    }
+
     /// Returns the entry that the leaf writes about itself.
     pub fn entry(&self, state: &str, sequence: u64) -> String {
+        self.entry_born(state, sequence, BORN_MS + self.restarts() * 10_000)
+    }
+
+    /// Returns the entry of a leaf that started at this Unix millisecond by its own clock.
+    pub fn entry_born(&self, state: &str, sequence: u64, born_ms: u64) -> String {
         let Config { service, zone, slots, .. } = &self.shared.config;
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
              \"slots\":{slots},\"state\":\"{state}\",\"coldLeftMs\":0,\"seq\":{sequence},\
-             \"born\":{}}}",
-            self.address,
-            BORN_MS + self.restarts() * 10_000
+             \"born\":{born_ms}}}",
+            self.address
         )
     }
 
@@ -134,7 +146,7 @@
     loop {
         if shared.crashed.load(Ordering::SeqCst) {
             drop(listener.take());
-            sleep(DOWNTIME);
+            sleep(Duration::from_millis(shared.downtime_ms.load(Ordering::SeqCst)));
             shared.crashed.store(false, Ordering::SeqCst);
             shared.restarts.fetch_add(1, Ordering::SeqCst);
             shared.record.line(&format!("{}: starts again", shared.config.id));
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -7,9 +7,11 @@
 mod crash_again;
 mod deployment;
 mod drain_waiting;
+mod foreign_entry;
 mod http;
 mod leaf;
 mod machine;
+mod older_birth;
 mod record;
 mod stop_waiting;
 mod store;
@@ -47,6 +49,8 @@
         "drain-waiting" => drain_waiting::run(&record, trouble),
         "crash-again" => crash_again::run(&record, trouble),
         "stop-waiting" => stop_waiting::run(&record, trouble),
+        "foreign-entry" => foreign_entry::run(&record, trouble),
+        "older-birth" => older_birth::run(&record, trouble),
         "watch-cut" => watch_cut::run(&record, trouble),
         "unreadable-entry" => unreadable_entry::run(&record, trouble),
         _ => Outcome::NotRun("no such case".to_owned()),
