--- a/review/src/leaf.rs
+++ b/review/src/leaf.rs
@@ -63,6 +63,8 @@
     streams: Mutex<Vec<TcpStream>>,
     crashed: AtomicBool,
     downtime_ms: AtomicU64,
+    /// Rejected requests of each 100.
+    rejected_percent: AtomicU64,
     /// Number of starts after crashes.
     restarts: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
@@ -89,6 +91,7 @@
             streams: Mutex::default(),
             crashed: AtomicBool::new(false),
             downtime_ms: AtomicU64::new(DOWNTIME.as_millis() as u64),
+            rejected_percent: AtomicU64::new(0),
             restarts: AtomicU64::new(0),
             arrivals: Mutex::default(),
             record,
@@ -103,6 +106,11 @@
         self.shared.work_ms.store(work_ms, Ordering::SeqCst);
     }
 
+    /// Sets the share of requests that the leaf rejects without running them, though it has room.
+    pub fn set_rejected_percent(&self, percent: u64) {
+        self.shared.rejected_percent.store(percent, Ordering::SeqCst);
+    }
+
     /// Ends the process of the leaf; it starts again under its id after `downtime`.
     pub fn crash(&self, downtime: Duration) {
         self.shared.downtime_ms.store(downtime.as_millis() as u64, Ordering::SeqCst);
@@ -199,7 +207,7 @@
     let at_ms = shared.record.now_ms();
     let expected = request.header("jaycrank-expect-instance");
     let is_expected = expected.is_none_or(|expected| expected == config.id);
-    let is_admitted = is_expected && enter(shared);
+    let is_admitted = is_expected && !is_rejected(shared) && enter(shared);
     shared.record.line(&format!(
         "{}: {id} arrives, deadline {} ms, {}",
         config.id,
@@ -227,6 +235,13 @@
     respond(stream, "200 OK", &[echo, stamp, load(shared)], body.as_bytes()).ok()
 }
 
+/// Returns whether the leaf rejects the next request though it has room.
+fn is_rejected(shared: &Shared) -> bool {
+    // 61 and 100 have no common factor, so the share holds for each 100 requests and is spread.
+    let number = shared.arrivals.lock().unwrap().len() as u64;
+    number * 61 % 100 < shared.rejected_percent.load(Ordering::SeqCst)
+}
+
 /// Counts a request as waiting; returns whether there was room for it.
 fn enter(shared: &Shared) -> bool {
     let mut load = shared.load.lock().unwrap();
--- a/review/src/machine.rs
+++ b/review/src/machine.rs
@@ -50,8 +50,17 @@
 
     /// Asks the process to stop, by SIGTERM.
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Tells the process that its settings file has changed, by SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let Some(child) = &self.child else { return };
-        let command = format!("kill -TERM {}", child.id());
+        let command = format!("kill -{signal} {}", child.id());
         let status = Command::new("sh").args(["-c", &command]).status();
         assert!(status.is_ok_and(|status| status.success()), "cannot signal the process");
     }
@@ -83,6 +92,7 @@
 pub struct Fleet {
     pub machines: Vec<Machine>,
     directory: PathBuf,
+    store: SocketAddr,
 }
 
 impl Drop for Fleet {
@@ -96,27 +106,45 @@
 }
 
 impl Fleet {
-    /// Starts one machine in each zone.
+    /// Starts one machine in each zone, whose seeds are these machines.
     pub fn start(store: SocketAddr) -> Self {
+        Self::start_with(store, Seeds::Present, true)
+    }
+
+    /// Starts one machine in each zone.
+    pub fn start_with(store: SocketAddr, seeds: Seeds, bootstrap: bool) -> Self {
         let id = process::id();
         let directory = std::env::temp_dir().join(format!("review-{id}"));
         fs::create_dir_all(&directory).unwrap();
-        // Each run has loopback addresses of its own, so that its ports are free.
-        let ip = |index: usize| format!("127.{}.{}.{}", 10 + id % 200, id / 200 % 250, index + 1);
-        let mut machines = Vec::new();
+        let mut fleet = Self { machines: Vec::new(), directory, store };
         for (index, (zone, _)) in ZONES.iter().enumerate() {
             let name = format!("front-{zone}-1");
-            let settings = directory.join(format!("{name}.toml"));
-            let seeds = [0, 1, 2].map(|seed| format!("\"{}:8224\"", ip(seed))).join(",");
-            fs::write(&settings, settings_text(&name, index, &ip(index), &seeds, store)).unwrap();
+            let settings = fleet.directory.join(format!("{name}.toml"));
             let address = |port: u16| format!("{}:{port}", ip(index)).parse().unwrap();
-            let log = directory.join(format!("{name}.log"));
+            let log = fleet.directory.join(format!("{name}.log"));
             let (front, ready) = (address(8226), address(8227));
-            let mut machine = Machine { front, ready, child: None, settings, log };
-            machine.start();
-            machines.push(machine);
+            fleet.machines.push(Machine { front, ready, child: None, settings, log });
+        }
+        fleet.write_settings(seeds, bootstrap);
+        fleet.machines.iter_mut().for_each(Machine::start);
+        fleet
+    }
+
+    /// Writes the settings files of all machines.
+    pub fn write_settings(&self, seeds: Seeds, bootstrap: bool) {
+        let first = match seeds {
+            Seeds::Present => 0,
+            Seeds::Removed => ZONES.len(),
+        };
+        let seeds = [0, 1, 2].map(|seed| format!("\"{}:8224\"", ip(first + seed))).join(",");
+        for (index, machine) in self.machines.iter().enumerate() {
+            let text = settings_text(index, &ip(index), &seeds, self.store)
+                .replace("bootstrap = true", &format!("bootstrap = {bootstrap}"));
+            // A process must not read a file that is only half written.
+            let new = machine.settings.with_extension("new");
+            fs::write(&new, text).unwrap();
+            fs::rename(&new, &machine.settings).unwrap();
         }
-        Self { machines, directory }
     }
 
     /// Waits until all machines are ready; returns whether they are.
@@ -132,9 +160,26 @@
     }
 }
 
+/// Which machines the settings name as seeds.
+#[derive(Clone, Copy)]
+pub enum Seeds {
+    /// The machines of the fleet.
+    Present,
+    /// Machines that have been removed, at addresses at which nothing listens.
+    Removed,
+}
+
+/// Returns the address of a machine. Each run has loopback addresses of its own, so that its ports
+/// are free.
+fn ip(index: usize) -> String {
+    let id = process::id();
+    format!("127.{}.{}.{}", 10 + id % 200, id / 200 % 250, index + 1)
+}
+
 /// Returns a settings file as the platform writes it, with the figures of the small deployment.
-fn settings_text(name: &str, zone: usize, ip: &str, seeds: &str, store: SocketAddr) -> String {
+fn settings_text(zone: usize, ip: &str, seeds: &str, store: SocketAddr) -> String {
     let (zone, region) = ZONES[zone];
+    let name = format!("front-{zone}-1");
     let zones: String =
         ZONES.iter().map(|(zone, region)| format!("{zone} = \"{region}\"\n")).collect();
     format!(
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -9,6 +9,7 @@
 mod drain_waiting;
 mod foreign_entry;
 mod http;
+mod late_seeds;
 mod leaf;
 mod machine;
 mod older_birth;
@@ -50,6 +51,7 @@
         "crash-again" => crash_again::run(&record, trouble),
         "stop-waiting" => stop_waiting::run(&record, trouble),
         "foreign-entry" => foreign_entry::run(&record, trouble),
+        "late-seeds" => late_seeds::run(&record, trouble),
         "older-birth" => older_birth::run(&record, trouble),
         "watch-cut" => watch_cut::run(&record, trouble),
         "unreadable-entry" => unreadable_entry::run(&record, trouble),
