review: case 1 with an unsafe route too

Cause: a request on a route that isn't safe is lost when a server that is no leaf answers 404. Change: every second request goes to an unsafe route.

--- a/review/src/foreign_entry.rs
+++ b/review/src/foreign_entry.rs
@@ -36,8 +36,11 @@
     let leafs: Vec<Leaf> = (1..=6)
         .map(|number| deployment::leaf(&format!("i-4c1a07e{number}"), SERVICE, WORK_MS, record))
         .collect();
-    let route = deployment::route("scan", "/scan/", "safe", 6_000, SERVICE);
-    store.put("config", "main", &deployment::config(7, &[route], &[SERVICE]));
+    let routes = [
+        deployment::route("scan", "/scan/", "safe", 6_000, SERVICE),
+        deployment::route("order", "/order/", "unsafe", 6_000, SERVICE),
+    ];
+    store.put("config", "main", &deployment::config(7, &routes, &[SERVICE]));
     for leaf in &leafs {
         store.put("servers", leaf.id(), &leaf.entry("ready", 1));
     }
@@ -59,9 +62,10 @@
         }
         for (index, machine) in fleet.machines.iter().enumerate() {
             let id = format!("{:016x}", 0x3a7c_0000 + u64::from(number) * 16 + index as u64);
-            let path = format!("/scan/{number}");
+            let (method, prefix) = if number % 2 == 0 { ("GET", "scan") } else { ("POST", "order") };
+            let path = format!("/{prefix}/{number}");
             let deadline = Duration::from_secs(6);
-            answers.push(client::send(record, machine.front, "GET", &path, &id, deadline));
+            answers.push(client::send(record, machine.front, method, &path, &id, deadline));
         }
         sleep(REQUEST_PAUSE);
     }
