review: a request is refused for a minute after two lost answers

Cause: the isolated run of a suspect is taken for a crash of its leaf if its answer is lost, without a sign that the leaf ended.

--- a/review/src/leaf.rs
+++ b/review/src/leaf.rs
@@ -65,6 +65,8 @@
     downtime_ms: AtomicU64,
     /// Rejected requests of each 100.
     rejected_percent: AtomicU64,
+    /// Requests of each 100 whose connection the leaf closes instead of an answer.
+    dropped_percent: AtomicU64,
     /// Number of starts after crashes.
     restarts: AtomicU64,
     arrivals: Mutex<Vec<Arrival>>,
@@ -92,6 +94,7 @@
             crashed: AtomicBool::new(false),
             downtime_ms: AtomicU64::new(DOWNTIME.as_millis() as u64),
             rejected_percent: AtomicU64::new(0),
+            dropped_percent: AtomicU64::new(0),
             restarts: AtomicU64::new(0),
             arrivals: Mutex::default(),
             record,
@@ -111,6 +114,11 @@
         self.shared.rejected_percent.store(percent, Ordering::SeqCst);
     }
 
+    /// Sets the share of requests whose connection the leaf closes instead of an answer.
+    pub fn set_dropped_percent(&self, percent: u64) {
+        self.shared.dropped_percent.store(percent, Ordering::SeqCst);
+    }
+
     /// Ends the process of the leaf; it starts again under its id after `downtime`.
     pub fn crash(&self, downtime: Duration) {
         self.shared.downtime_ms.store(downtime.as_millis() as u64, Ordering::SeqCst);
@@ -207,15 +215,26 @@
     let at_ms = shared.record.now_ms();
     let expected = request.header("jaycrank-expect-instance");
     let is_expected = expected.is_none_or(|expected| expected == config.id);
-    let is_admitted = is_expected && !is_rejected(shared) && enter(shared);
+    let is_dropped = is_expected && is_chosen(shared, &shared.dropped_percent);
+    let is_rejected = is_chosen(shared, &shared.rejected_percent);
+    let is_admitted = is_expected && !is_dropped && !is_rejected && enter(shared);
     shared.record.line(&format!(
         "{}: {id} arrives, deadline {} ms, {}",
         config.id,
         request.header("jaycrank-deadline-ms").unwrap_or("none"),
-        if is_admitted { "accepted" } else { "rejected" }
+        match (is_dropped, is_admitted) {
+            (true, _) => "connection closed",
+            (false, true) => "accepted",
+            (false, false) => "rejected",
+        }
     ));
     let arrival = Arrival { at_ms, leaf: config.id.clone(), id: id.clone() };
     shared.arrivals.lock().unwrap().push(arrival);
+    if is_dropped {
+        // The front may have closed the connection already.
+        let _ = stream.shutdown(Shutdown::Both);
+        return None;
+    }
     let echo = ("jaycrank-request-id", id.clone());
     if !is_expected {
         let own = ("jaycrank-instance-id", config.id.clone());
@@ -235,11 +254,11 @@
     respond(stream, "200 OK", &[echo, stamp, load(shared)], body.as_bytes()).ok()
 }
 
-/// Returns whether the leaf rejects the next request though it has room.
-fn is_rejected(shared: &Shared) -> bool {
+/// Returns whether the next request is one of the share that fails.
+fn is_chosen(shared: &Shared, percent: &AtomicU64) -> bool {
     // 61 and 100 have no common factor, so the share holds for each 100 requests and is spread.
     let number = shared.arrivals.lock().unwrap().len() as u64;
-    number * 61 % 100 < shared.rejected_percent.load(Ordering::SeqCst)
+    number * 61 % 100 < percent.load(Ordering::SeqCst)
 }
 
 /// Counts a request as waiting; returns whether there was room for it.
--- a/review/src/main.rs
+++ b/review/src/main.rs
@@ -14,6 +14,7 @@
 mod machine;
 mod older_birth;
 mod record;
+mod same_request;
 mod stop_waiting;
 mod store;
 mod unreadable_entry;
@@ -52,6 +53,7 @@
         "stop-waiting" => stop_waiting::run(&record, trouble),
         "foreign-entry" => foreign_entry::run(&record, trouble),
         "late-seeds" => late_seeds::run(&record, trouble),
+        "same-request" => same_request::run(&record, trouble),
         "older-birth" => older_birth::run(&record, trouble),
         "watch-cut" => watch_cut::run(&record, trouble),
         "unreadable-entry" => unreadable_entry::run(&record, trouble),
--- /dev/null
+++ b/review/src/same_request.rs
@@ -0,0 +1,112 @@
+//! A request that is the same each time is refused for a minute after some of its answers were lost.
+
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::thread::sleep;
+use std::time::Duration;
+
+use crate::Outcome;
+use crate::client;
+use crate::client::Ended;
+use crate::deployment;
+use crate::deployment::STABILITY_WINDOW_MS;
+use crate::leaf::Leaf;
+use crate::machine::Fleet;
+use crate::machine::Machine;
+use crate::record::Record;
+use crate::store::Store;
+
+/// Service of the route.
+const SERVICE: &str = "reorder-lists";
+/// Work of a request.
+const WORK_MS: u64 = 90;
+/// Pause between two requests of each machine's clients.
+const REQUEST_PAUSE: Duration = Duration::from_millis(1_100);
+/// Rounds of requests before the final fault and after it.
+const ROUNDS_BEFORE: u32 = 8;
+const ROUNDS_AFTER: u32 = 45;
+/// Time for which all processes are down.
+const DOWNTIME: Duration = Duration::from_secs(1);
+/// Leafs of the service, those that fail requests, the share that these fail, and for how long.
+const LEAFS: usize = 6;
+const FAILING: usize = 4;
+const FAILED_PERCENT: u64 = 60;
+const FAILED_MS: u64 = 9_000;
+/// Bound of the settings: time after which requests must be served again.
+const RECOVERY_MS: u64 = 12_000;
+
+/// Milliseconds at which a request was sent, and its end.
+type Sent = (u64, JoinHandle<Ended>);
+
+pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
+    let store = Store::start(record.clone());
+    let leafs: Vec<Leaf> = (1..=LEAFS)
+        .map(|number| deployment::leaf(&format!("i-4c1a07e{number}"), SERVICE, WORK_MS, record))
+        .collect();
+    let config = |version: u64, timeout_ms: u64| {
+        let route = deployment::route("refill", "/refill/", "unsafe", timeout_ms, SERVICE);
+        deployment::config(version, &[route], &[SERVICE])
+    };
+    store.put("config", "main", &config(7, 6_000));
+    for leaf in &leafs {
+        store.put("servers", leaf.id(), &leaf.entry("ready", 1));
+    }
+    let mut fleet = Fleet::start(store.address());
+    if !fleet.wait_until_ready() {
+        return Outcome::NotRun("the machines did not become ready".to_owned());
+    }
+    sleep(Duration::from_millis(STABILITY_WINDOW_MS + 1_000));
+
+    let mut before = Vec::new();
+    for round in 0..ROUNDS_BEFORE {
+        send(&mut before, record, &fleet, round);
+        sleep(REQUEST_PAUSE);
+    }
+    store.put("config", "main", &config(8, 5_500));
+    if trouble {
+        record.line("final fault: all processes are killed");
+        fleet.machines.iter_mut().for_each(Machine::kill);
+        sleep(DOWNTIME);
+        fleet.machines.iter_mut().for_each(Machine::start);
+    }
+    let back_ms = record.now_ms();
+    if !fleet.wait_until_ready() {
+        return Outcome::NotRun("the machines did not become ready again".to_owned());
+    }
+    let mut after = Vec::new();
+    for round in 0..ROUNDS_AFTER {
+        let fails = trouble && record.now_ms() < back_ms + FAILED_MS;
+        let percent = if fails { FAILED_PERCENT } else { 0 };
+        leafs.iter().take(FAILING).for_each(|leaf| leaf.set_dropped_percent(percent));
+        send(&mut after, record, &fleet, ROUNDS_BEFORE + round);
+        sleep(REQUEST_PAUSE);
+    }
+    after.retain(|(sent_ms, _)| *sent_ms > back_ms + RECOVERY_MS);
+    let (sent_before, sent_after) = (before.len(), after.len());
+    let (served_before, served_after) = (count_served(before), count_served(after));
+    record.line(&format!(
+        "served before the final fault: {served_before} of {sent_before}; of the requests sent later \
+         than {RECOVERY_MS} ms after the machines were back: {served_after} of {sent_after}"
+    ));
+    if 4 * served_before < sent_before {
+        return Outcome::NotRun("too few requests were served before".to_owned());
+    }
+    if 4 * served_after < sent_after { Outcome::Broken } else { Outcome::Held }
+}
+
+/// Sends the request to each machine. Path and body are the same each time, the id is not.
+fn send(sent: &mut Vec<Sent>, record: &Arc<Record>, fleet: &Fleet, round: u32) {
+    for (index, machine) in fleet.machines.iter().enumerate() {
+        let id = format!("{:016x}", 0x3a7c_0000 + u64::from(round) * 16 + index as u64);
+        let deadline = Duration::from_secs(6);
+        let path = "/refill/all-yards";
+        let answer = client::send(record, machine.front, "POST", path, &id, deadline);
+        sent.push((record.now_ms(), answer));
+        sleep(REQUEST_PAUSE / 10);
+    }
+}
+
+fn count_served(sent: Vec<Sent>) -> usize {
+    let answers = sent.into_iter().filter_map(|(_, answer)| answer.join().ok());
+    answers.filter(|(_, answer)| answer.as_ref().is_some_and(|answer| answer.status() == 200)).count()
+}
