--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/release/jaycrank-front ] || exit 2
 if [ "${TROUBLE:-1}" = 0 ]; then trouble=without; else trouble=with; fi
-target/review/cases older-birth review/2 "$trouble"
+target/review/cases stop-waiting review/2 "$trouble"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/src/foreign_entry.rs
+++ b/review/src/foreign_entry.rs
@@ -62,7 +62,8 @@
         }
         for (index, machine) in fleet.machines.iter().enumerate() {
             let id = format!("{:016x}", 0x3a7c_0000 + u64::from(number) * 16 + index as u64);
-            let (method, prefix) = if number % 2 == 0 { ("GET", "scan") } else { ("POST", "order") };
+            let (method, prefix) =
+                if number % 2 == 0 { ("GET", "scan") } else { ("POST", "order") };
             let path = format!("/{prefix}/{number}");
             let deadline = Duration::from_secs(6);
             answers.push(client::send(record, machine.front, method, &path, &id, deadline));
--- a/review/src/same_request.rs
+++ b/review/src/same_request.rs
@@ -108,5 +108,7 @@
 
 fn count_served(sent: Vec<Sent>) -> usize {
     let answers = sent.into_iter().filter_map(|(_, answer)| answer.join().ok());
-    answers.filter(|(_, answer)| answer.as_ref().is_some_and(|answer| answer.status() == 200)).count()
+    answers
+        .filter(|(_, answer)| answer.as_ref().is_some_and(|answer| answer.status() == 200))
+        .count()
 }
