review: keep the doses of two cases and two scripts inside the site's

Change: another copy of the service with sound leafs, one leaf more, failures of under 9 s, bootstrap = false at a restart.

--- a/review/src/crash_again.rs
+++ b/review/src/crash_again.rs
@@ -12,6 +12,7 @@
 use crate::leaf::Leaf;
 use crate::machine::Fleet;
 use crate::machine::Machine;
+use crate::machine::Seeds;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -52,6 +53,7 @@
             record.line("fleet: all machines are killed");
             fleet.machines.iter_mut().for_each(Machine::kill);
             sleep(DOWNTIME);
+            fleet.write_settings(Seeds::Present, false);
             record.line("fleet: all machines start again");
             fleet.machines.iter_mut().for_each(Machine::start);
         }
--- a/review/src/late_seeds.rs
+++ b/review/src/late_seeds.rs
@@ -18,7 +18,9 @@
 use crate::store::Store;
 
 /// Service of the route.
-const SERVICE: &str = "quote-desk";
+const SERVICE: &str = "quote-desk-3";
+/// Another copy of the service, whose leafs reject nothing: half of all leafs do.
+const OTHER_COPY: &str = "quote-desk-4";
 /// Work of a request.
 const WORK_MS: u64 = 11;
 /// Pause between two requests of each machine's clients.
@@ -28,11 +30,10 @@
 /// Number of requests to each machine: in all, and before the leafs reject some.
 const REQUESTS: u32 = 540;
 const REJECTED_FROM: u32 = 400;
-/// Number of requests to each machine while the leafs reject some: 9 s.
-const REJECTED_FOR: u32 = 90;
-/// Leafs of the service, those that reject requests, and the share that these reject.
+/// Number of requests to each machine while the leafs reject some: less than 9 s.
+const REJECTED_FOR: u32 = 85;
+/// Leafs of each copy, and the share of requests that those of the first one reject.
 const LEAFS: usize = 3;
-const REJECTING: usize = 3;
 const REJECTED_PERCENT: u64 = 60;
 /// Bounds of the settings: window, ratio and fixed part of the budget of extra requests.
 const BUDGET_WINDOW_MS: u64 = 10_000;
@@ -47,8 +48,11 @@
         .map(|number| deployment::leaf(&format!("i-4c1a07e{number}"), SERVICE, WORK_MS, record))
         .collect();
     let route = deployment::route("check", "/check/", "safe", 2_000, SERVICE);
-    store.put("config", "main", &deployment::config(7, &[route], &[SERVICE]));
-    for leaf in &leafs {
+    store.put("config", "main", &deployment::config(7, &[route], &[SERVICE, OTHER_COPY]));
+    let others: Vec<Leaf> = (1..=LEAFS)
+        .map(|number| deployment::leaf(&format!("i-91bd33f{number}"), OTHER_COPY, WORK_MS, record))
+        .collect();
+    for leaf in leafs.iter().chain(&others) {
         store.put("servers", leaf.id(), &leaf.entry("ready", 1));
     }
     let seeds = if trouble { Seeds::Removed } else { Seeds::Present };
@@ -69,7 +73,7 @@
             Some(passed) if passed < REJECTED_FOR => REJECTED_PERCENT,
             _ => 0,
         };
-        leafs.iter().take(REJECTING).for_each(|leaf| leaf.set_rejected_percent(percent));
+        leafs.iter().for_each(|leaf| leaf.set_rejected_percent(percent));
         for (index, machine) in fleet.machines.iter().enumerate() {
             let id = format!("{:016x}", 0x3a7c_0000 + u64::from(number) * 16 + index as u64);
             let path = format!("/check/{number}");
--- a/review/src/older_birth.rs
+++ b/review/src/older_birth.rs
@@ -39,7 +39,7 @@
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Outcome {
     let store = Store::start(record.clone());
-    let others: Vec<Leaf> = (1..=6)
+    let others: Vec<Leaf> = (1..=7)
         .map(|number| deployment::leaf(&format!("i-4c1a07e{number}"), SERVICE, WORK_MS, record))
         .collect();
     let route = deployment::route("scan", "/scan/", "safe", 6_000, SERVICE);
--- a/review/src/same_request.rs
+++ b/review/src/same_request.rs
@@ -13,11 +13,14 @@
 use crate::leaf::Leaf;
 use crate::machine::Fleet;
 use crate::machine::Machine;
+use crate::machine::Seeds;
 use crate::record::Record;
 use crate::store::Store;
 
 /// Service of the route.
-const SERVICE: &str = "quote-desk";
+const SERVICE: &str = "quote-desk-3";
+/// Another copy of the service, whose leafs don't fail: half of all leafs do.
+const OTHER_COPY: &str = "quote-desk-4";
 /// Work of a request.
 const WORK_MS: u64 = 90;
 /// Pause between two requests of each machine's clients.
@@ -27,11 +30,11 @@
 const ROUNDS_AFTER: u32 = 50;
 /// Time for which all processes are down.
 const DOWNTIME: Duration = Duration::from_secs(1);
-/// Leafs of the service, those that fail requests, the share that these fail, and for how long.
+/// Leafs of each copy, and the share of requests that those of the first one fail.
 const LEAFS: usize = 3;
-const FAILING: usize = 3;
 const FAILED_PERCENT: u64 = 60;
-const FAILED_MS: u64 = 9_000;
+/// Rounds of requests during which they fail: less than 9 s.
+const FAILED_ROUNDS: u32 = 7;
 /// Bound of the settings: time after which requests must be served again.
 const RECOVERY_MS: u64 = 12_000;
 
@@ -45,10 +48,15 @@
         .collect();
     let config = |version: u64, timeout_ms: u64| {
         let route = deployment::route("check", "/check/", "safe", timeout_ms, SERVICE);
-        deployment::config(version, &[route], &[SERVICE])
+        deployment::config(version, &[route], &[SERVICE, OTHER_COPY])
     };
     store.put("config", "main", &config(7, 6_000));
-    for leaf in &leafs {
+    let others: Vec<Leaf> = (1..=LEAFS)
+        .map(|number| {
+            deployment::leaf(&format!("i-91bd33{number:02}"), OTHER_COPY, WORK_MS, record)
+        })
+        .collect();
+    for leaf in leafs.iter().chain(&others) {
         store.put("servers", leaf.id(), &leaf.entry("ready", 1));
     }
     let mut fleet = Fleet::start(store.address());
@@ -67,6 +75,7 @@
         record.line("final fault: all processes are killed");
         fleet.machines.iter_mut().for_each(Machine::kill);
         sleep(DOWNTIME);
+        fleet.write_settings(Seeds::Present, false);
         fleet.machines.iter_mut().for_each(Machine::start);
     }
     let back_ms = record.now_ms();
@@ -75,9 +84,11 @@
     }
     let mut after = Vec::new();
     for round in 0..ROUNDS_AFTER {
-        let fails = trouble && record.now_ms() < back_ms + FAILED_MS;
-        let percent = if fails { FAILED_PERCENT } else { 0 };
-        leafs.iter().take(FAILING).for_each(|leaf| leaf.set_dropped_percent(percent));
+        let percent = if trouble && round < FAILED_ROUNDS { FAILED_PERCENT } else { 0 };
+        if round == 0 || round == FAILED_ROUNDS {
+            record.line(&format!("{SERVICE}: {percent}% of the requests fail from now on"));
+        }
+        leafs.iter().for_each(|leaf| leaf.set_dropped_percent(percent));
         send(&mut after, record, &fleet, ROUNDS_BEFORE + round);
         sleep(REQUEST_PAUSE);
     }
