Answer each request before a stopping instance ends

Cause: deadlines came from callers and routes only. The end of the process was known to Instance::shutdown alone, which dropped what was left.

Change: policy::deadline holds one time by which a stopping instance has answered all requests. New requests whose leaf is expected to take longer get 503 at once, waiting ones when their time to be sent has passed; requests that a leaf or another instance may run get 502, and gathered ones are answered with the parts that are there. The reserve at the end grows with the scheduling delay of the process.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use hyper::http::uri::PathAndQuery;
 use jaycrank_event::Event;
 use jaycrank_event::event;
+use jaycrank_policy::deadline::Deadline;
 use jaycrank_policy::hold::Hold;
 use jaycrank_policy::load_report;
 use jaycrank_policy::placement::Ticket;
@@ -192,8 +193,8 @@
     pub names: Arc<Names>,
     /// Estimated round-trip times to failure domains.
     pub round_trips: Arc<Estimator>,
-    /// When the caller stops waiting.
-    pub deadline: Instant,
+    /// Deadline of the request.
+    pub deadline: Deadline,
     /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Permission to send the request to the leaf.
@@ -528,7 +529,7 @@
 }
 
 fn set_deadline(request: &mut Request<Full<Bytes>>, context: &Context) {
-    let remaining = context.deadline.saturating_duration_since(Instant::now());
+    let remaining = context.deadline.at().saturating_duration_since(Instant::now());
     let value = (remaining.as_millis() as u64).max(1).into();
     request.headers_mut().insert(context.names.deadline_ms.clone(), value);
 }
--- a/crates/gateway/src/fetch.rs
+++ b/crates/gateway/src/fetch.rs
@@ -11,6 +11,7 @@
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_policy::attempts::Attempts;
+use jaycrank_policy::deadline::Deadline;
 use jaycrank_policy::hold::Hold;
 use jaycrank_policy::placement;
 use jaycrank_policy::timing;
@@ -63,8 +64,8 @@
     pub attempts_max: u32,
     /// Time by which the answer should be there to meet the target latency.
     pub answer_at: Instant,
-    /// Deadline of the caller or of the route, whichever is earlier.
-    pub deadline: Instant,
+    /// Deadline of the request.
+    pub deadline: Deadline,
     /// Leafs that may run the request or may have run it.
     pub sent: Arc<SentLeafs>,
 }
@@ -82,6 +83,8 @@
     Resting,
     /// The leafs of the service take no more requests by the limits that they state.
     Limited,
+    /// The instance stops before a leaf could answer.
+    Stopping,
     /// All leafs that the request was sent to rejected it.
     Rejected,
     /// No connection could be opened.
@@ -147,6 +150,8 @@
     suspicion: Suspicion<'a>,
     /// Leaf that the request was not sent to because of its limit.
     limited: Option<Arc<Leaf>>,
+    /// Whether the request is not sent any more because the instance stops.
+    stopping: bool,
     /// Failure to return unless a leaf answers.
     failure: Failure,
 }
@@ -176,6 +181,7 @@
         started: Instant::now(),
         suspicion: Suspicion::new(gateway, job),
         limited: None,
+        stopping: false,
         failure,
     };
     if sent_before.is_none() {
@@ -226,7 +232,7 @@
                 () = hedge => {
                     hedge_at = if self.may_hedge() { self.send("overdue") } else { None };
                 }
-                () = sleep_until(self.job.deadline) => {
+                () = sleep_until(self.job.deadline.requested()) => {
                     self.pending.iter().for_each(|leaf| self.log(leaf, Reason::TimedOut, ""));
                     self.failure.reason = Reason::TimedOut;
                     // Requests that still wait for a connection have not been sent.
@@ -302,7 +308,9 @@
     /// Sends the request again when none is in flight; returns the time at which it is hedged, or
     /// `None` if it was not sent.
     async fn resume(&mut self) -> Option<Instant> {
-        if self.suspicion.is_suspected() {
+        if self.stopping {
+            None
+        } else if self.suspicion.is_suspected() {
             self.run_isolated().await
         } else if let Some(leaf) = self.limited.clone() {
             self.wait_for_token(&leaf).await
@@ -403,6 +411,13 @@
     fn send(&mut self, cause: &'static str) -> Option<Instant> {
         let now = Instant::now();
         let (leaf, expected, pass) = self.choose(now)?;
+        if !self.job.deadline.allows(expected.latency) {
+            self.stopping = true;
+            if !self.failure.may_have_run {
+                self.failure.reason = Reason::Stopping;
+            }
+            return None;
+        }
         let id = leaf.with_entry(|entry| entry.id.clone());
         if self.resent || self.attempts.sends() > 0 {
             let granted = self.gateway.quotas().try_spend(&self.job.service);
@@ -428,7 +443,7 @@
         let context = Context {
             names: self.gateway.names().clone(),
             round_trips: self.gateway.round_trips().clone(),
-            deadline: self.job.deadline,
+            deadline: self.job.deadline.clone(),
             idempotent: self.job.idempotent,
             pass,
             sent: self.job.sent.clone(),
@@ -511,7 +526,8 @@
             let position = placement::pick_shortest(&times, rand::random())?;
             let leaf = leafs.swap_remove(position);
             let round_trip = round_trips.swap_remove(position);
-            times.swap_remove(position);
+            let latency =
+                times.swap_remove(position) + leaf.pool().expected_wait(service_times.mean());
             let limit = leaf.rate_limit();
             let admitted = leaf.admit(self.job.rank);
             if limit.is_limited() {
@@ -520,7 +536,7 @@
             match admitted {
                 Ok(pass) => {
                     let best_other = times.into_iter().min();
-                    return Some((leaf, Expected { round_trip, best_other }, pass));
+                    return Some((leaf, Expected { round_trip, latency, best_other }, pass));
                 }
                 Err(Hold::Leaving | Hold::Resting(_)) => {}
                 Err(Hold::Limited(_)) => _ = limited.get_or_insert(leaf),
@@ -549,6 +565,8 @@
 struct Expected {
     /// Round-trip time to the chosen leaf.
     round_trip: Duration,
+    /// Response time of the chosen leaf, with the wait for a connection.
+    latency: Duration,
     /// Expected response time of the best other leaf, if there is one.
     best_other: Option<Duration>,
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use jaycrank_policy::connections::FleetSize;
+use jaycrank_policy::deadline::Shutdown;
 use jaycrank_policy::extra_requests::Quota;
 use jaycrank_policy::overload::Shedder;
 use jaycrank_policy::placement::ServiceTime;
@@ -226,6 +227,7 @@
     rate_limits: Arc<RateLimits>,
     rests: Arc<Rests>,
     reachability: Arc<Reachability>,
+    shutdown: Arc<Shutdown>,
     caller_round_trip: Duration,
     service_times: Mutex<BTreeMap<SmolStr, ServiceTime>>,
     processing_time: Mutex<ProcessingTime>,
@@ -256,6 +258,7 @@
             rate_limits: Arc::default(),
             rests: Arc::default(),
             reachability: Arc::default(),
+            shutdown: Arc::default(),
             caller_round_trip: options.caller_round_trip,
             service_times: Mutex::default(),
             processing_time: Mutex::default(),
@@ -305,6 +308,11 @@
         &self.reachability
     }
 
+    /// Returns the time by which all requests must be answered because the instance stops.
+    pub fn shutdown(&self) -> &Arc<Shutdown> {
+        &self.shutdown
+    }
+
     /// Returns the network round-trip time to callers.
     pub fn caller_round_trip(&self) -> Duration {
         self.caller_round_trip
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -55,6 +55,13 @@
 const BALANCER_REMOVAL_TIME: Duration = Duration::from_millis(2_600);
 /// Part of the grace period kept in reserve, so that the process exits before it is killed.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
+/// Time in which the last answers leave a process that is not short of processor time.
+const ANSWER_TIME_MIN: Duration = Duration::from_millis(200);
+/// Largest part of the grace period in which only the last answers leave.
+const ANSWER_TIME_FRACTION_MAX: f64 = 0.25;
+/// Number of times that an answer waits for the processor on its way: the timer, the request, the
+/// connection, and the end of the process.
+const ANSWER_WAKEUPS: u32 = 4;
 /// Interval at which a leaving instance checks whether all connections are closed.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Interval of the timer whose delay measures the load of the processor.
@@ -190,14 +197,31 @@
         old_grace != options.grace || quotas_changed
     }
 
+    /// Returns the time by which all requests must be answered if the process ends at `end`. A process
+    /// that waits for the processor takes longer to send its answers.
+    fn answer_by(&self, end: Instant) -> Instant {
+        let answer_time = ANSWER_TIME_MIN + self.gateway.shedder().delay() * ANSWER_WAKEUPS;
+        let answer_time = answer_time.min(self.grace.mul_f64(ANSWER_TIME_FRACTION_MAX));
+        end.checked_sub(answer_time).unwrap_or(end)
+    }
+
     /// Shuts down gracefully: fails the readiness probe until the load balancer has removed the
     /// instance, then closes idle connections and waits for running requests.
     pub async fn shutdown(self) {
         let started = Instant::now();
         let end = started + self.grace.saturating_sub(GRACE_MARGIN);
-        event!(Event::Leaving, instance = self.name, connections = self.connections.count());
+        let shutdown = self.gateway.shutdown();
+        shutdown.set_answer_by(self.answer_by(end));
+        event!(
+            Event::Leaving,
+            instance = self.name,
+            connections = self.connections.count(),
+            requests = self.gateway.shedder().admitted(),
+            answer_ms = shutdown.answer_by().map_or(0, |time| (time - started).as_millis())
+        );
         self.phase.send_replace(Phase::Leaving);
         sleep_until((started + BALANCER_REMOVAL_TIME).min(end)).await;
+        shutdown.set_answer_by(self.answer_by(end));
         self.phase.send_replace(Phase::Closing);
         // The listeners take over the connections that wait to be accepted.
         sleep_until((Instant::now() + DRAIN_CHECK_INTERVAL).min(end)).await;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -7,6 +7,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -76,6 +78,22 @@
     permit: OwnedSemaphorePermit,
 }
 
+/// Guard that counts a request as waiting for a permit until it is dropped.
+struct Waiting<'a>(&'a AtomicUsize);
+
+impl<'a> Waiting<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Failure to obtain a connection; no byte of the request was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Error(pub SmolStr);
@@ -95,6 +113,8 @@
     idle: Mutex<Vec<Connection>>,
     witnesses: Arc<Witnesses>,
     counter: Arc<Counter>,
+    /// Number of requests that wait for a permit.
+    waiting: AtomicUsize,
     /// Start of the last probe, and whether the leaf refused the connection.
     probe: tokio::sync::Mutex<Option<(Instant, bool)>>,
 }
@@ -132,6 +152,7 @@
             idle: Mutex::default(),
             witnesses: Arc::default(),
             counter: Arc::default(),
+            waiting: AtomicUsize::new(0),
             probe: tokio::sync::Mutex::default(),
         }
     }
@@ -167,6 +188,17 @@
         }
     }
 
+    /// Returns the time that a request would wait for a permit, if each one holds it for
+    /// `service_time`.
+    pub(crate) fn expected_wait(&self, service_time: Duration) -> Duration {
+        let waiting = self.waiting.load(Ordering::Relaxed);
+        if waiting == 0 {
+            return Duration::ZERO;
+        }
+        let permits = self.capacity().permits.max(1);
+        service_time.mul_f64((waiting + 1) as f64 / permits as f64)
+    }
+
     /// Records that the leaf reset a new connection without an answer, which lowers the limit.
     pub(crate) fn record_reset(&self) {
         let mut capacity = self.capacity();
@@ -181,7 +213,10 @@
     /// Waits for a permit and takes an idle connection, or opens one if there is none or `fresh` is
     /// set.
     pub(crate) async fn acquire(&self, fresh: bool) -> Result<Lease, Error> {
-        let permit = self.semaphore.clone().acquire_owned().await.map_err(connect_error)?;
+        let permit = {
+            let _waiting = Waiting::new(&self.waiting);
+            self.semaphore.clone().acquire_owned().await.map_err(connect_error)?
+        };
         if !fresh && let Some(connection) = self.take_idle() {
             return Ok(Lease { connection, connect_time: None, permit });
         }
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderValue;
 use jaycrank_event::Event;
 use jaycrank_event::event;
+use jaycrank_policy::deadline::Deadline;
 use jaycrank_policy::merge;
 use jaycrank_policy::quarantine::Isolation;
 use jaycrank_policy::quarantine::Turn;
@@ -31,6 +32,7 @@
 use crate::config::Active;
 use crate::delegation;
 use crate::delegation::Delegator;
+use crate::fetch::Failure;
 use crate::fetch::Fetched;
 use crate::fetch::Job;
 use crate::fetch::Reason;
@@ -48,6 +50,8 @@
 
 /// Part of the caller's deadline that is reserved for sending the response.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(10);
+/// Time before the end of a stopping instance's requests at which the parts that are there are merged.
+const MERGE_TIME: Duration = Duration::from_millis(20);
 /// Retry delay sent to a refused caller, before jitter.
 const RETRY_AFTER_BASE: Duration = Duration::from_millis(250);
 /// Longest retry delay, as a fraction of the time left until the caller's deadline.
@@ -69,7 +73,7 @@
     outgoing: Arc<Outgoing>,
     arrival: Instant,
     answer_at: Instant,
-    deadline: Instant,
+    deadline: Deadline,
     /// Leafs that may run the request or may have run it.
     sent: Arc<SentLeafs>,
 }
@@ -128,7 +132,14 @@
         return refuse(gateway, "", Refusal::NotStarted, Some(RETRY_AFTER_BASE));
     };
     let limits = active.config().limits;
-    let received = match request::receive(request, origin.peer, gateway.names(), &limits).await {
+    let received = tokio::select! {
+        biased;
+        received = request::receive(request, origin.peer, gateway.names(), &limits) => received,
+        () = gateway.shutdown().ends_within(Duration::ZERO) => {
+            return refuse(gateway, "", Refusal::NotRun, Some(RETRY_AFTER_BASE));
+        }
+    };
+    let received = match received {
         Ok(received) => received,
         Err(request::Error::TooLarge) => return refuse(gateway, "", Refusal::TooLarge, None),
         Err(request::Error::BrokenOff) => return refuse(gateway, "", Refusal::BrokenOff, None),
@@ -157,7 +168,7 @@
         outgoing: Arc::new(received.outgoing),
         arrival,
         answer_at: Instant::from_std(answer_at),
-        deadline: arrival + timeout,
+        deadline: Deadline::new(arrival + timeout, gateway.shutdown()),
         sent: Arc::default(),
     };
     query.run().await
@@ -185,7 +196,10 @@
         outgoing: Arc::new(outgoing),
         arrival,
         answer_at: arrival + Duration::from_millis(request.answer_in_ms),
-        deadline: arrival + Duration::from_millis(request.deadline_ms).min(route.timeout),
+        deadline: Deadline::new(
+            arrival + Duration::from_millis(request.deadline_ms).min(route.timeout),
+            gateway.shutdown(),
+        ),
         sent: Arc::new(SentLeafs::new(request.sent)),
     };
     let sent = query.sent.clone();
@@ -217,7 +231,7 @@
             completed: false,
         };
         let handled = match self.gateway.shedder().admit(self.route) {
-            Some(_admitted) => self.serve().await,
+            Some(_admitted) => self.serve_until_shutdown().await,
             None => self.refused(Refusal::Overloaded, "processor", (0, 0), 0),
         };
         guard.completed = true;
@@ -230,6 +244,18 @@
         handled.reply
     }
 
+    /// Serves the request, or ends it in time for its response to leave before the instance stops.
+    async fn serve_until_shutdown(&self) -> Handled {
+        tokio::select! {
+            biased;
+            handled = self.serve() => handled,
+            () = self.deadline.ends_within(Duration::ZERO) => {
+                let refusal = if self.sent.is_empty() { Refusal::NotRun } else { Refusal::Lost };
+                self.refused(refusal, Reason::Stopping.into(), (0, 0), 0)
+            }
+        }
+    }
+
     /// Runs the request here, or at another instance while this one is cut off from all leafs.
     async fn serve(&self) -> Handled {
         let reachability = self.gateway.reachability();
@@ -282,7 +308,7 @@
             Err(Refusal::Lost | Refusal::TimedOut) => self.route.idempotent,
             _ => false,
         };
-        may_run && Instant::now() < self.deadline
+        may_run && Instant::now() < self.deadline.at()
     }
 
     /// Passes the request to another instance; returns `None` if none runs it.
@@ -296,23 +322,27 @@
             id: self.outgoing.id.clone(),
             caller: self.outgoing.caller,
             host: self.host.clone(),
-            deadline_ms: delegation::millis_until(self.deadline),
+            deadline_ms: delegation::millis_until(self.deadline.at()),
             answer_in_ms: delegation::millis_until(self.answer_at),
             version: self.active.version(),
             sent: self.sent.by_service(),
         };
-        let (peer, mut reply) =
-            match delegator.run(request, self.route.idempotent, self.deadline).await {
-                delegation::Outcome::Answered(peer, reply) => (peer, reply),
-                delegation::Outcome::Declined => return None,
-                delegation::Outcome::Lost => {
-                    let refusal = match Instant::now() < self.deadline {
-                        true => Refusal::Lost,
-                        false => Refusal::TimedOut,
-                    };
-                    return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
-                }
-            };
+        self.sent.set_delegated(true);
+        let outcome = delegator.run(request, self.route.idempotent, self.deadline.at()).await;
+        let (peer, mut reply) = match outcome {
+            delegation::Outcome::Answered(peer, reply) => (peer, reply),
+            delegation::Outcome::Declined => {
+                self.sent.set_delegated(false);
+                return None;
+            }
+            delegation::Outcome::Lost => {
+                let refusal = match Instant::now() < self.deadline.at() {
+                    true => Refusal::Lost,
+                    false => Refusal::TimedOut,
+                };
+                return Some(self.refused(refusal, DELEGATED, (0, 0), 1));
+            }
+        };
         for key in delegation::take_leaving(&mut reply) {
             self.gateway.directory().mark_leaving(&key, Instant::now().into_std());
         }
@@ -349,7 +379,7 @@
             return Ok(None);
         }
         let fingerprint = self.outgoing.fingerprint();
-        let deadline = self.deadline.min(Instant::now() + SUSPECT_WAIT_MAX);
+        let deadline = self.deadline.at().min(Instant::now() + SUSPECT_WAIT_MAX);
         match quarantine.isolate(fingerprint, false, deadline).await {
             Turn::Isolated(isolation) => Ok(Some(isolation)),
             Turn::Cleared => Ok(None),
@@ -396,7 +426,13 @@
         let Some(service) = route::pick_service(split, rand::random()) else {
             return self.refused(Refusal::NotRun, Reason::NoLeaf.into(), (0, 1), 0);
         };
-        match fetch(self.gateway, &self.job(service, isolated)).await {
+        let job = self.job(service, isolated);
+        let fetched = tokio::select! {
+            biased;
+            fetched = fetch(self.gateway, &job) => fetched,
+            failure = self.wait_for_last_send(service) => Err(failure),
+        };
+        match fetched {
             Ok(Fetched { answer, sends }) => {
                 self.answered(answer::forwarded(answer), (1, 1), sends)
             }
@@ -413,6 +449,21 @@
         }
     }
 
+    /// Waits until the instance stops so soon that a leaf would not answer in time. Returns only if
+    /// the request was not sent until then.
+    async fn wait_for_last_send(&self, service: &SmolStr) -> Failure {
+        self.deadline.ends_within(self.gateway.service_time(service).mean()).await;
+        if !self.sent.is_empty() {
+            std::future::pending::<()>().await;
+        }
+        Failure {
+            reason: Reason::Stopping,
+            may_have_run: false,
+            answer: None,
+            retry_after: Duration::ZERO,
+        }
+    }
+
     /// Obtains a part from each service and merges them. A suspect that runs isolated is sent to
     /// the other services only after the first one has survived it.
     async fn gather(
@@ -463,6 +514,7 @@
         let mut late = false;
         // Whether the answer only waited for the time at which it was due.
         let mut was_waiting = false;
+        let mut stopping = std::pin::pin!(self.deadline.ends_within(MERGE_TIME));
         while !timing::is_due(parts.len(), fetches.len(), total, coverage_min, late) {
             tokio::select! {
                 biased;
@@ -487,6 +539,10 @@
                     late = true;
                     was_waiting = timing::meets_coverage(parts.len(), total, coverage_min);
                 }
+                () = &mut stopping => {
+                    failures.add(Reason::Stopping, !self.sent.is_empty());
+                    break;
+                }
             }
             if !timing::meets_coverage(parts.len() + fetches.len(), total, coverage_min) {
                 break;
@@ -531,7 +587,7 @@
             rank: self.route.rank,
             attempts_max: self.route.attempts_max,
             answer_at: self.answer_at,
-            deadline: self.deadline,
+            deadline: self.deadline.clone(),
             sent: self.sent.clone(),
         }
     }
@@ -564,7 +620,7 @@
         coverage: (usize, usize),
         sends: u32,
     ) -> Handled {
-        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        let time_left = self.deadline.requested().saturating_duration_since(Instant::now());
         let retry_after = match refusal {
             Refusal::NotRun | Refusal::Overloaded => {
                 Some(jitter(RETRY_AFTER_BASE).min(time_left.mul_f64(RETRY_AFTER_DEADLINE_FRACTION)))
--- a/crates/gateway/src/sent.rs
+++ b/crates/gateway/src/sent.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use smol_str::SmolStr;
 
@@ -23,12 +25,14 @@
     before: LeafsByService,
     /// Leafs that this instance has sent it to.
     here: Mutex<Vec<Arc<Leaf>>>,
+    /// Whether another instance may run it for this one.
+    delegated: AtomicBool,
 }
 
 impl SentLeafs {
     /// Creates a record that starts with the leafs that another instance has sent the request to.
     pub fn new(before: LeafsByService) -> Self {
-        Self { before, here: Mutex::default() }
+        Self { before, ..Self::default() }
     }
 
     /// Records that the request is being sent to a leaf.
@@ -47,9 +51,14 @@
         self.lock().iter().filter(leaving).map(|leaf| leaf.key()).collect()
     }
 
+    /// Records whether another instance may run the request for this one.
+    pub(crate) fn set_delegated(&self, delegated: bool) {
+        self.delegated.store(delegated, Ordering::Relaxed);
+    }
+
     /// Returns whether no leaf has run the request or will run it.
     pub fn is_empty(&self) -> bool {
-        self.before.is_empty() && self.lock().is_empty()
+        self.before.is_empty() && !self.delegated.load(Ordering::Relaxed) && self.lock().is_empty()
     }
 
     /// Returns the leafs of a service that another instance has sent the request to.
--- a/crates/gateway/src/suspicion.rs
+++ b/crates/gateway/src/suspicion.rs
@@ -41,7 +41,7 @@
             return false;
         }
         let fingerprint = self.job.outgoing.fingerprint();
-        let deadline = self.job.deadline.min(Instant::now() + SUSPECT_WAIT_MAX);
+        let deadline = self.job.deadline.at().min(Instant::now() + SUSPECT_WAIT_MAX);
         match self.gateway.quarantine().isolate(fingerprint, true, deadline).await {
             Turn::Isolated(isolation) => self.isolation = Some(isolation),
             Turn::Cleared => {}
--- a/crates/gateway/tests/delegation.rs
+++ b/crates/gateway/tests/delegation.rs
@@ -41,6 +41,8 @@
 const SERVED_MIN: f64 = 0.95;
 /// Timeout of the routes, longer than the time after which [`eventually`] fails.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(60);
+/// Longest graceful shutdown of an instance.
+const GRACE: Duration = Duration::from_millis(3_500);
 /// Time after which an instance no longer avoids a leaf because of failures in a cut.
 const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 const CUTS: [State; 3] = [State::Hang, State::Reset, State::RefuseNew];
@@ -89,6 +91,7 @@
             let mut options = options(Some(peers[index]), peers.clone());
             options.ready_listen = free_address();
             options.instances = INSTANCES;
+            options.grace = GRACE;
             options.failure_domain = format!("domain-{index}").into();
             let domains =
                 (0..INSTANCES).map(|index| (format!("domain-{index}").into(), "r".into()));
@@ -326,3 +329,30 @@
     };
     eventually("no instance works on the request", helpers).await;
 }
+
+/// Guards against a planned stop that cuts off the requests which an instance runs for others, or
+/// those which others run for it, and against one that says of them that they have not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn delegated_requests_are_answered_before_an_instance_stops() {
+    for stopped in [0..1, 1..INSTANCES] {
+        let mut tier = Tier::start().await;
+        tier.cut(0, State::Reset);
+        tier.send(&[0], "/read/", "r", DETECTION_TIME).await;
+        assert!(tier.instances[0].gateway().reachability().is_cut_off());
+        tier.leafs.iter().for_each(|leaf| leaf.set_reaction(Reaction::Hang));
+        let address = tier.address(0);
+        let requests = ["/write/", "/read/"].map(|path| {
+            let request = get(path, path).replace("3000", "60000");
+            tokio::spawn(async move { call(address, &request).await.status })
+        });
+        let runs = || ["/write/", "/read/"].iter().all(|id| tier.runs().contains_key(*id));
+        eventually("leafs run the requests", runs).await;
+        let stops: JoinSet<()> =
+            tier.instances.drain(stopped.clone()).map(Instance::shutdown).collect();
+        for request in requests {
+            let status = timeout(GRACE, request).await.expect("an answer in time").unwrap();
+            assert_eq!(status, 502, "instances {stopped:?} stop");
+        }
+        stops.join_all().await;
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod budget;
 pub mod concurrency;
 pub mod connections;
+pub mod deadline;
 pub mod extra_requests;
 mod fair;
 mod fair_queue;
