Answer each query before a stopping jaycrankd ends

What callers saw: a query that ran until the grace period of jaycrankd was over ended with a closed connection, and the grace period was counted from the end of the hand-over, up to 1.5 s after the signal, so that a supervisor that kills at its end could cut off requests that still ran.

Cause: the same as in the gateway: no query knew when the process ends.

Change: Shared holds the same policy::deadline::Shutdown. Queries that wait for admission get 503 "stopping" before that time, those at leafs or claims 504 (may have run), and queries that arrive while the instance leaves get it as their deadline. All phases count from the signal.

Evidence: jaycrank/failures graceful_shutdown_answers_queries_that_do_not_end_in_time fails before ("connection closed before message completed") and passes now; all tests of the package pass.

--- a/crates/jaycrank/src/node.rs
+++ b/crates/jaycrank/src/node.rs
@@ -57,6 +57,11 @@
 /// just sending on one.
 const LAME_DUCK_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time that a stopping instance needs after its last answer, to publish its final counts.
+const FINISH_TIME: Duration = Duration::from_secs(1);
+/// Largest part of the grace period that is kept for that.
+const FINISH_TIME_FRACTION_MAX: f64 = 0.25;
+
 /// Options of an instance, as given by the flags of `jaycrankd`.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -78,7 +83,7 @@
     pub shared_key: Vec<u8>,
     /// Number of instances that divide the connections of the leafs among them.
     pub instances_max: usize,
-    /// Longest time that a graceful shutdown waits for requests in flight.
+    /// Longest graceful shutdown.
     pub grace: Duration,
 }
 
@@ -265,18 +270,23 @@
     pub async fn shutdown(mut self) {
         let name = self.parts.shared.name();
         event!(Event::Leaving, instance = name);
+        let end = Instant::now() + self.grace;
+        let finish_time = FINISH_TIME.min(self.grace.mul_f64(FINISH_TIME_FRACTION_MAX));
+        let answer_by = end - finish_time;
+        self.parts.shared.shutdown().set_answer_by(answer_by);
+        let left = || end.saturating_duration_since(Instant::now());
         self.operator_api.set_ready(false);
         self.parts.shared.set_state(State::Leaving);
         self.heartbeats.broadcast(ANNOUNCE_PERIOD).await;
-        let lame_duck = sleep(LAME_DUCK_PERIOD.min(self.grace));
+        let lame_duck = sleep(LAME_DUCK_PERIOD.min(left()));
         tokio::join!(self.parts.claims.release(), lame_duck);
-        self.caller.stop(self.grace).await;
+        self.caller.stop(left()).await;
         self.tasks.shutdown().await;
         // Publishes the final counts. The heartbeat announces them, then the peers pull them.
         publish::report(&self.parts, u64::MAX);
         self.heartbeats.broadcast(ANNOUNCE_PERIOD).await;
         sleep(ANNOUNCE_PERIOD).await;
-        self.instance.stop(self.grace).await;
+        self.instance.stop(left()).await;
         self.operator.abort().await;
         self.parts.shared.fleet().close();
         event!(Event::Stopped, instance = self.parts.shared.name());
--- a/crates/jaycrank/src/query.rs
+++ b/crates/jaycrank/src/query.rs
@@ -40,6 +40,9 @@
 /// Retry delay for a suspect whose deadline passed before it could run isolated.
 const SUSPECT_RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// Time before the end of a stopping instance's queries from which none is sent to leafs any more.
+const SERVICE_TIME_RESERVE: Duration = Duration::from_millis(100);
+
 /// Handler that answers the queries of callers.
 pub struct Queries {
     parts: Arc<Parts>,
@@ -70,7 +73,14 @@
         let queue = queue.ok_or_else(|| no_partition_map(&query.service))?;
         let request =
             Request { member: key.member.clone(), rank: key.rank, deadline: deadline.into_std() };
-        let permit = queue.admit(request).await.map_err(|refused| overloaded(&refused))?;
+        let admitted = tokio::select! {
+            biased;
+            admitted = queue.admit(request) => admitted,
+            () = self.parts.shared.shutdown().ends_within(SERVICE_TIME_RESERVE) => {
+                return Err(stopping());
+            }
+        };
+        let permit = admitted.map_err(|refused| overloaded(&refused))?;
         counter.count_admitted();
         let plan = Plan {
             service: query.service.clone(),
@@ -190,11 +200,17 @@
         let service = service.ok_or_else(|| unknown_service(&query.service))?;
         let rank = query.parse_rank()?;
         let start = Instant::now();
+        let shutdown = self.parts.shared.shutdown();
         let deadline = start + query.deadline(service.deadline_max())?;
+        let deadline = shutdown.answer_by().map_or(deadline, |answer_by| answer_by.min(deadline));
         let key = Key::new(query.service.clone(), rank, member);
         let counter = self.parts.admissions.counters().counter(&key);
         counter.count_offered(start.into_std());
-        let answer = self.run(&query, &key, &counter, deadline).await;
+        let answer = tokio::select! {
+            biased;
+            answer = self.run(&query, &key, &counter, deadline) => answer,
+            () = shutdown.ends_within(Duration::ZERO) => Err(stopped()),
+        };
         let outcome = match &answer {
             Ok(answer) if answer.complete => Outcome::Complete,
             Ok(_) => Outcome::Partial,
@@ -273,6 +289,16 @@
     refusal.with_retry_after_ms(milliseconds(refused.retry_after))
 }
 
+#[cold]
+fn stopping() -> Refusal {
+    Refusal::not_run(503, "stopping", "the instance stops").with_retry_after_ms(1)
+}
+
+#[cold]
+fn stopped() -> Refusal {
+    Refusal::may_have_run(504, "stopping", "the instance stopped before the answer was there")
+}
+
 #[cold]
 fn suspected(retry_after: Duration) -> Refusal {
     let message =
--- a/crates/jaycrank/src/shared.rs
+++ b/crates/jaycrank/src/shared.rs
@@ -16,6 +16,7 @@
 use jaycrank_instance::Exchange;
 use jaycrank_instance::wire::State;
 use jaycrank_policy::ShardMap;
+use jaycrank_policy::deadline::Shutdown;
 use jaycrank_settings::Config;
 use jaycrank_settings::Member;
 use jaycrank_settings::Operator;
@@ -84,6 +85,7 @@
     active: RwLock<Arc<ActiveSettings>>,
     maps: Mutex<BTreeMap<SmolStr, (u64, Arc<ShardMap>)>>,
     leaving: AtomicBool,
+    shutdown: Shutdown,
 }
 
 impl Shared {
@@ -99,6 +101,7 @@
             active: RwLock::default(),
             maps: Mutex::default(),
             leaving: AtomicBool::new(false),
+            shutdown: Shutdown::default(),
         }
     }
 
@@ -137,6 +140,11 @@
         self.leaving.load(Ordering::Relaxed)
     }
 
+    /// Returns the time by which all queries must be answered because the instance stops.
+    pub fn shutdown(&self) -> &Shutdown {
+        &self.shutdown
+    }
+
     /// Sets the state of the instance, which the next heartbeats announce.
     pub fn set_state(&self, state: State) {
         self.leaving.store(state == State::Leaving, Ordering::Relaxed);
--- a/crates/jaycrank/tests/failures.rs
+++ b/crates/jaycrank/tests/failures.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use common::caller;
@@ -22,12 +23,15 @@
 use common::with_timeout;
 use http_body_util::Full;
 use hyper::Request;
+use jaycrank::local::LocalTier;
+use jaycrank::local::TierOptions;
 use jaycrank_caller::audit::Audit;
 use jaycrank_caller::client::Error;
 use jaycrank_caller::wire::Category;
 use jaycrank_claim::GroupCommit;
 use jaycrank_claim::Owner;
 use jaycrank_operator::client::Error as Refused;
+use jaycrank_standin::deployment::Shape;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
@@ -283,6 +287,54 @@
     .await;
 }
 
+/// Guards against a graceful shutdown that closes the connections of queries which run until the end
+/// of the grace period, and against one whose grace period begins long after the signal.
+#[tokio::test(flavor = "multi_thread")]
+async fn graceful_shutdown_answers_queries_that_do_not_end_in_time() {
+    const GRACE: Duration = Duration::from_secs(3);
+    with_timeout(async {
+        let tier_options = TierOptions {
+            instances: 2,
+            services: Shape::find("quote-desk").into_iter().collect(),
+            grace: GRACE,
+            ..TierOptions::default()
+        };
+        let local = Arc::new(LocalTier::start(&tier_options).await.unwrap());
+        for leaf in local.services()["quote-desk"].groups().values().flatten() {
+            leaf.update(|behavior| behavior.service_time = GRACE * 4);
+        }
+        let requests = [
+            query("quote-desk", "\"long\""),
+            non_idempotent("quote-desk", "long", 1),
+            query("quote-desk", "\"other\""),
+        ];
+        let client = caller(&local, 1);
+        let mut queries = JoinSet::new();
+        for request in requests {
+            let client = caller(&local, 1);
+            queries.spawn(async move { client.query(&request).await });
+        }
+        sleep(Duration::from_millis(300)).await;
+        let stopped_at = Instant::now();
+        let stop = {
+            let local = local.clone();
+            tokio::spawn(async move { local.stop(1).await })
+        };
+        sleep(Duration::from_millis(600)).await;
+        queries.spawn(async move { client.query(&query("quote-desk", "\"late\"")).await });
+        while let Some(ended) = queries.join_next().await {
+            match ended.unwrap() {
+                Ok(answer) => assert!(!answer.complete),
+                Err(Error::Refused(refusal)) => assert_ne!(refusal.category, Category::Invalid),
+                Err(error) => panic!("no reply: {error}"),
+            }
+        }
+        stop.await.unwrap();
+        assert!(stopped_at.elapsed() <= GRACE, "stopped after {:?}", stopped_at.elapsed());
+    })
+    .await;
+}
+
 /// Guards against a request that crashes one server after the other, and against other queries that
 /// stay incomplete because of it.
 #[tokio::test(flavor = "multi_thread")]
