--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 use std::time::Instant;
 
 use jaycrank_policy::hold::Hold;
@@ -27,6 +28,9 @@
 use crate::rest::LeafRest;
 use crate::rest::Trial;
 
+/// Longest warm-up time that is used.
+const COLD_TIME_MAX: Duration = Duration::from_secs(3_600);
+
 /// Incarnation of a leaf: its id and the Unix millisecond of its start.
 pub(crate) type LeafKey = (LeafId, u64);
 
@@ -90,7 +94,9 @@
 impl Leaf {
     /// Creates a leaf whose connections come from `pool`.
     pub fn new(entry: Entry, pool: Pool, revision: Revision, now: Instant) -> Self {
-        let stats = LeafStats::default().with_cold_until(now + entry.cold);
+        // A time that can't be represented is not reached.
+        let cold_until = now.checked_add(entry.cold).unwrap_or(now + COLD_TIME_MAX);
+        let stats = LeafStats::default().with_cold_until(cold_until);
         Self {
             pool,
             presence: Mutex::new(presence(&entry)),
