--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::time::Duration;
+use std::time::Instant;
 
 use jaycrank_policy::route::Route;
 use jaycrank_policy::route::Table;
@@ -61,13 +62,14 @@
 pub struct Active {
     config: Config,
     routes: Table,
+    applied_at: Instant,
 }
 
 impl Active {
-    /// Creates the route table of a configuration.
+    /// Creates the route table of a configuration that is in force from now on.
     pub fn new(config: Config) -> Self {
         let routes = Table::new(config.routes.iter().cloned());
-        Self { config, routes }
+        Self { config, routes, applied_at: Instant::now() }
     }
 
     /// Returns the configuration.
@@ -80,6 +82,11 @@
         self.config.version
     }
 
+    /// Returns the time since which the configuration is in force.
+    pub fn applied_at(&self) -> Instant {
+        self.applied_at
+    }
+
     /// Returns the routes by host and prefix.
     pub fn routes(&self) -> &Table {
         &self.routes
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -45,6 +45,7 @@
 use crate::gather::signed_part;
 use crate::quarantine::SUSPECT_WAIT_MAX;
 use crate::request;
+use crate::request::Received;
 use crate::sent::SentLeafs;
 use crate::server::Origin;
 
@@ -57,6 +58,9 @@
 /// Longest retry delay, as a fraction of the time left until the caller's deadline.
 const RETRY_AFTER_DEADLINE_FRACTION: f64 = 0.3;
 
+/// Most characters of a host or a path in a log line.
+const LOGGED_CHARS_MAX: usize = 96;
+
 /// Reason of a request that no leaf ran because this instance is cut off from all of them.
 const UNREACHABLE: &str = "cut-off";
 /// Reason of a request that another instance ran.
@@ -146,7 +150,7 @@
         Err(request::Error::TooSlow) => return refuse(gateway, "", Refusal::TooSlow, None),
     };
     let Some(route) = active.routes().find(&received.host, received.outgoing.uri.path()) else {
-        return refuse(gateway, &received.outgoing.id, Refusal::NoRoute, None);
+        return refuse_without_route(gateway, &active, &received);
     };
     let timeout = received.timeout.map_or(route.timeout, |timeout| {
         timeout.saturating_sub(DEADLINE_MARGIN.min(timeout / 10)).min(route.timeout)
@@ -216,6 +220,27 @@
     refusal.reply(retry_after.map(jitter))
 }
 
+/// Refuses a request to which no route of the configuration leads. The line shows whether that was
+/// due: the configuration that decided it, and the time since it is in force.
+fn refuse_without_route(gateway: &Gateway, active: &Active, received: &Received) -> Reply {
+    let reason: &'static str = Refusal::NoRoute.into();
+    let path: String = received.outgoing.uri.path().chars().take(LOGGED_CHARS_MAX).collect();
+    let host: String = received.host.chars().take(LOGGED_CHARS_MAX).collect();
+    event!(
+        Event::RequestRefused,
+        request = received.outgoing.id,
+        reason = reason,
+        status = Refusal::NoRoute.status().as_u16(),
+        host = host,
+        path = path,
+        version = active.version(),
+        age_ms = active.applied_at().elapsed().as_millis(),
+        revision = gateway.directory().revision()
+    );
+    gateway.metrics().record_request("", reason, Duration::ZERO);
+    Refusal::NoRoute.reply(None)
+}
+
 /// Scales a retry delay by a random factor from 0.5 to 1.5, so that callers that were refused
 /// together do not retry together.
 fn jitter(delay: Duration) -> Duration {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -16,6 +16,8 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use jaycrank_event::Event;
+use jaycrank_event::event;
 use jaycrank_http::Client;
 use jaycrank_policy::rendezvous;
 use smol_str::SmolStr;
@@ -140,6 +142,15 @@
                 Ok(update) if update.current && !is_behind(&update, revision) => {
                     let leafs = update.leafs.as_ref().map_or(0, |leafs| leafs.entries.len());
                     self.gateway.metrics().record_exchanged_leafs("reader", leafs);
+                    if let Some(config) = &update.config {
+                        event!(
+                            Event::PeerDocuments,
+                            peer = peer,
+                            version = config.version,
+                            leafs = leafs,
+                            revision = update.revision
+                        );
+                    }
                     return Some(update);
                 }
                 _ => self.mark_failed(peer),
