Send no waiting request to a leaf that is no longer used

What callers and leafs saw: a request that waited for a connection when the entry of its leaf was removed reached the leaf 4.5 s later, and one whose leaf had started again elsewhere under its id reached the old address.

Cause: the question at the moment of sending (Leaf::confirm) counts a lapsed entry as listed, also after the directory has dropped the leaf.

Change: a leaf that the directory drops is marked, and is not confirmed any more.

Evidence: gateway/leaving waiting_requests_are_not_sent_to_a_leaf_that_is_ gone fails before (latest arrival 4.5 s after the removal) and passes now.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -387,6 +387,7 @@
 
     fn drop_leaf(&mut self, id: &LeafId) {
         let Some(leaf) = self.leafs.remove(id) else { return };
+        leaf.mark_dropped();
         let entry = leaf.entry();
         self.dropped.insert(id.clone(), (entry.started_ms, entry.sequence));
         if self.dropped.len() > DROPPED_LEAFS_MAX {
--- a/crates/gateway/src/leaf.rs
+++ b/crates/gateway/src/leaf.rs
@@ -49,6 +49,8 @@
     isolated_runs: AtomicUsize,
     /// Whether a success stated the id of its request.
     echoes_ids: AtomicBool,
+    /// Whether the leaf is no longer used: it has left, or another incarnation has taken its place.
+    dropped: AtomicBool,
     rate_limit: LeafLimit,
     rest: LeafRest,
 }
@@ -106,6 +108,7 @@
             entry: Mutex::new(entry),
             isolated_runs: AtomicUsize::new(0),
             echoes_ids: AtomicBool::new(false),
+            dropped: AtomicBool::new(false),
             rate_limit: LeafLimit::default(),
             rest: LeafRest::default(),
         }
@@ -162,8 +165,17 @@
         self.leaving.get().copied()
     }
 
-    /// Returns the eligibility of the leaf as far as it leaves; a lapsed entry counts as listed.
+    /// Records that the leaf is no longer used. Requests that wait for a connection are not sent to it.
+    pub(crate) fn mark_dropped(&self) {
+        self.dropped.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the eligibility of the leaf as far as it leaves. A lapsed entry counts as listed until
+    /// the leaf is dropped.
     fn departure(&self) -> Eligibility {
+        if self.dropped.load(Ordering::Relaxed) {
+            return Eligibility::Never;
+        }
         match self.presence() {
             Presence::Listed | Presence::Lapsed(_) => Eligibility::Regular,
             leaving => leaving.eligibility(None, now()),
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -172,3 +172,38 @@
     assert!(before < 12, "all were sent at once");
     assert_eq!((leaf.arrivals().len(), other.arrivals().len()), (before, 12 - before));
 }
+
+/// Guards against requests that wait for a connection to a leaf and are sent to it long after its entry
+/// was removed, or after another incarnation has taken its place.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn waiting_requests_are_not_sent_to_a_leaf_that_is_gone() {
+    for is_replaced in [false, true] {
+        let (instance, catalog, leafs) = tier(1, &[]).await;
+        leafs[0].set_reaction(answer(500));
+        let address = instance.address();
+        let mut calls = JoinSet::new();
+        for index in 0..120 {
+            let request = get("/read/", &format!("r{index}")).replace("3000", "20000");
+            calls.spawn(async move { call(address, &request).await.status });
+        }
+        while leafs[0].arrivals().is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let other = Server::start("leaf-0").await.unwrap();
+        if is_replaced {
+            catalog.put_leaf(Entry { started_ms: 2, ..entry(&other, "db") });
+        } else {
+            catalog.remove_leaf("leaf-0");
+        }
+        let removed = Instant::now();
+        let mut statuses = calls.join_all().await;
+        statuses.sort_unstable();
+        statuses.dedup();
+        let late = leafs[0].arrivals();
+        let late =
+            late.iter().map(|request| request.received_at.saturating_duration_since(removed));
+        let latest = late.max().unwrap();
+        assert!(latest < LAST_RESORT_MAX + Duration::from_millis(500), "{is_replaced}: {latest:?}");
+        assert!(statuses.contains(&503) || is_replaced, "{statuses:?}");
+    }
+}
