Count only an outage that entries can lapse in as one

What leafs saw: a leaf that is gone kept getting requests for 2.3 s after each call to the catalog that was cut off (4 s and more in a series of cuts), because the next answer counted as the end of an outage, after which lapsed leafs are used as a last resort.

Cause: any failed call marked the catalog as lost, and the next success as recovered. A watch that is cut off says nothing about the entries.

Change: the follower measures how long the catalog was silent, from the start of a call that timed out or from the moment of a cut, and only an outage of 2 s or more, in which entries of live leafs may lapse, starts the time of last resort.

Evidence: gateway/leaving cut_call_does_not_keep_a_leaf_that_is_gone_in_ use fails before (4.0 s) and passes now; leaf_whose_entry_lapsed_in_an_ outage_serves_after_it passes before and after.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -41,6 +41,8 @@
 /// Range of the random factor of a backoff, so that instances that lost the catalog together don't
 /// retry in step.
 const RETRY_JITTER: Range<f64> = 0.7..1.3;
+/// Shortest outage in which entries of live leafs may lapse because they can't be renewed.
+const ENTRY_LIFETIME_MIN: Duration = Duration::from_secs(2);
 /// Longest backoff after a failed call while the instance can't serve yet.
 const START_BACKOFF_MAX: Duration = Duration::from_millis(200);
 
@@ -179,13 +181,17 @@
     let mut backoff = RETRY_BACKOFF_MIN;
     // Whether the last successful call was a list.
     let mut listed = false;
+    // Time from which on the catalog may have been unavailable to all.
+    let mut silent_since = None;
     loop {
         // After an outage a list shows the current documents sooner than a watch does.
         let known = revision.filter(|_| !feed.lost().load(Ordering::Relaxed));
+        let started = Instant::now();
         let result = match known {
             Some(revision) => feed.watch(revision).await,
             None => feed.list().await,
         };
+        let answer_time = if known.is_some() { WATCH_WAIT } else { LIST_TIMEOUT };
         let outcome = if result.is_ok() { "ok" } else { "failed" };
         gateway.metrics().record_catalog_call(feed.kind(), outcome);
         match result {
@@ -194,7 +200,8 @@
                 if !listed {
                     backoff = RETRY_BACKOFF_MIN;
                 }
-                mark_restored(gateway, &feed, listing.revision);
+                let outage = silent_since.take().map_or(Duration::ZERO, |at: Instant| at.elapsed());
+                mark_restored(gateway, &feed, listing.revision, outage);
                 let unchanged = listing.items.is_empty();
                 revision = Some(listing.revision);
                 if known.is_none() {
@@ -213,6 +220,10 @@
                 if error == Error::Expired {
                     revision = None;
                 } else {
+                    // A call that is cut off shows that the catalog was there until now.
+                    let is_cut = started.elapsed() < answer_time;
+                    let failed_at = if is_cut { Instant::now() } else { started };
+                    silent_since.get_or_insert(failed_at);
                     mark_lost(&feed, &error);
                 }
                 sleep(backoff.mul_f64(rand::random_range(RETRY_JITTER))).await;
@@ -230,9 +241,16 @@
     }
 }
 
-fn mark_restored<F: Feed>(gateway: &Gateway, feed: &F, revision: Revision) {
+fn mark_restored<F: Feed>(gateway: &Gateway, feed: &F, revision: Revision, outage: Duration) {
     if feed.lost().swap(false, Ordering::Relaxed) {
-        gateway.directory().record_catalog_recovery(Instant::now().into_std());
-        event!(Event::StoreAvailable, prefix = feed.kind(), revision = revision);
+        if outage >= ENTRY_LIFETIME_MIN {
+            gateway.directory().record_catalog_recovery(Instant::now().into_std());
+        }
+        event!(
+            Event::StoreAvailable,
+            prefix = feed.kind(),
+            revision = revision,
+            ms = outage.as_millis()
+        );
     }
 }
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -207,3 +207,40 @@
         assert!(statuses.contains(&503) || is_replaced, "{statuses:?}");
     }
 }
+
+/// Guards against a leaf that is gone and stays in use because a call to the catalog was cut off: the
+/// next answer counted as the end of an outage, in which entries of live leafs may have lapsed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cut_call_does_not_keep_a_leaf_that_is_gone_in_use() {
+    let (instance, catalog, leafs) = tier(1, &[]).await;
+    catalog.remove_leaf("leaf-0");
+    let removed = Instant::now();
+    while removed.elapsed() < LAST_RESORT_MAX * 2 {
+        if removed.elapsed() > LAST_RESORT_MAX / 2 {
+            catalog.set_outage(true);
+            sleep(Duration::from_millis(20)).await;
+            catalog.set_outage(false);
+        }
+        send(&instance, "/read/", 1).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let late = leafs[0].arrivals();
+    let latest = late.last().unwrap().received_at.saturating_duration_since(removed);
+    assert!(latest < LAST_RESORT_MAX, "{latest:?}");
+}
+
+/// Guards against a live leaf whose entry lapsed in an outage and that is not used until it is renewed.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaf_whose_entry_lapsed_in_an_outage_serves_after_it() {
+    let (instance, catalog, _leafs) = tier(1, &[]).await;
+    catalog.set_outage(true);
+    sleep(Duration::from_millis(500)).await;
+    catalog.remove_leaf("leaf-0");
+    sleep(Duration::from_millis(2_000)).await;
+    catalog.set_outage(false);
+    let end = Instant::now() + Duration::from_millis(2_000);
+    while Instant::now() < end {
+        assert_eq!(send(&instance, "/read/", 1).await, [200]);
+        sleep(Duration::from_millis(100)).await;
+    }
+}
