Read the catalog when upstream instances are silent

What callers saw: while most instances of a zone were frozen, the others did not have a new version in force 3 s after its acknowledgement.

Cause: an instance that reads through another one tries all those of higher rank, one after the other, before it reads the catalog. Each silent one takes half a second, so nine of them took more than 5 s.

Change: after the wait of a poll, further upstream instances are tried for 250 ms only, which is enough for those that refuse or are behind.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -47,6 +47,9 @@
 /// bounds the traffic that one instance sends: with all 100 instances of a failure domain following
 /// one, that one sent 475 kB/s.
 const FOLLOWERS_MAX: usize = 16;
+/// Time after the wait of a poll in which further upstream instances are tried before the catalog is
+/// read.
+const UPSTREAM_TIME_MAX: Duration = Duration::from_millis(250);
 /// Time for which an instance is not used as upstream after it failed.
 const FAILED_PEER_BACKOFF: Duration = Duration::from_secs(4);
 /// Time for which reads wait until other instances are discovered, at the first start of a fleet. The
@@ -119,7 +122,8 @@
     }
 
     /// Polls upstream instances until one answers that is up to date with the catalog. Returns
-    /// `None` if there is no such instance.
+    /// `None` if there is no such instance, or if those that were tried took too long: each silent one
+    /// takes as long as a timeout, and many may be silent at once.
     async fn poll_upstream(
         &self,
         version: Wanted<u64>,
@@ -127,7 +131,9 @@
         wait: Duration,
     ) -> Option<Update> {
         let end = Instant::now() + wait;
-        while let Some((peer, client)) = self.upstream() {
+        while Instant::now() < end + UPSTREAM_TIME_MAX
+            && let Some((peer, client)) = self.upstream()
+        {
             let wait = end.saturating_duration_since(Instant::now());
             let poll = Poll {
                 from: self.peers.own_address(),
