--- a/review/src-2/front.rs
+++ b/review/src-2/front.rs
@@ -30,8 +30,6 @@
 /// Bounds of `lws-jaycrank`.
 pub const STABILITY_WINDOW: Duration = Duration::from_millis(4_000);
 /// See [`STABILITY_WINDOW`].
-pub const CONFIG_APPLY: Duration = Duration::from_millis(3_000);
-/// See [`STABILITY_WINDOW`].
 pub const DRAIN: Duration = Duration::from_millis(3_000);
 
 /// Processes that run, and their folder.
--- a/review/src-2/http.rs
+++ b/review/src-2/http.rs
@@ -1,4 +1,4 @@
-//! Reads the heads of HTTP messages and their bodies.
+//! Reads HTTP messages.
 
 use std::collections::BTreeMap;
 use std::io;
@@ -7,12 +7,10 @@
 use std::io::Read;
 use std::net::TcpStream;
 
-/// HTTP message: the words of the first line, headers by their names in lower case, and the body.
+/// HTTP message: the words of the first line, and headers by their names in lower case.
 pub struct Message {
     pub start: Vec<String>,
     pub headers: BTreeMap<String, String>,
-    #[allow(dead_code, reason = "not every case looks at bodies")]
-    pub body: Vec<u8>,
 }
 
 impl Message {
@@ -45,5 +43,5 @@
     let length = headers.get("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
     stream.read_exact(&mut body)?;
-    Ok(Some(Message { start, headers, body }))
+    Ok(Some(Message { start, headers }))
 }
--- a/review/src-2/leaf.rs
+++ b/review/src-2/leaf.rs
@@ -30,7 +30,7 @@
 const WORK: Duration = Duration::from_millis(10);
 /// Time for which a leaf that crashed is down.
 const DOWNTIME: Duration = Duration::from_millis(2_500);
-/// Text in the path of a request that crashes the leaf which begins to run it.
+/// Text in the path, or name of the caller, of a request that crashes the leaf which begins to run it.
 pub const DEADLY: &str = "deadly";
 
 /// One request that a leaf began to run.
@@ -38,7 +38,6 @@
 pub struct Run {
     pub at: Instant,
     pub leaf: String,
-    pub service: String,
     pub request: String,
 }
 
@@ -241,16 +240,11 @@
                 return Ok(());
             }
             let path = request.start.get(1).cloned().unwrap_or_default();
-            let run = Run {
-                at: Instant::now(),
-                leaf: self.id.clone(),
-                service: self.service.clone(),
-                request: id.clone(),
-            };
+            let run = Run { at: Instant::now(), leaf: self.id.clone(), request: id.clone() };
             self.record
                 .note_at(run.at, format!("run {id} {path} by {} of {}", self.id, self.service));
             lock(&self.runs.runs).push(run);
-            if path.contains(DEADLY) {
+            if path.contains(DEADLY) || request.header("x-caller") == DEADLY {
                 let mut state = lock(&self.state);
                 if !state.crashed {
                     lock(&self.runs.crashes).push((Instant::now(), self.id.clone()));
--- a/review/src-2/main.rs
+++ b/review/src-2/main.rs
@@ -9,9 +9,8 @@
 mod joining;
 mod leaf;
 mod poison;
-mod proxy;
 mod record;
-mod silence;
+mod refused;
 mod store;
 
 use std::path::PathBuf;
@@ -35,10 +34,11 @@
         exit(2);
     };
     let play: fn(&Arc<Record>, bool) -> Verdict = match case.as_str() {
-        "silence" => silence::play,
         "joining" => joining::play,
         "kills" => poison::play_kills,
         "dark" => poison::play_dark,
+        "popular" => poison::play_popular,
+        "refused" => refused::play,
         "strangers" => poison::play_dead_seeds,
         _ => {
             eprintln!("no such case: {case}");
--- a/review/src-2/poison.rs
+++ b/review/src-2/poison.rs
@@ -30,6 +30,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
 /// Pause between ordinary requests to one machine.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Path of a request that many callers send.
+const POPULAR: &str = "/lists/top";
 /// Retries that may reach leafs later than the stability window after the third crash.
 const RETRIES_MAX: usize = 3;
 
@@ -43,6 +45,8 @@
     DeadSeeds,
     /// Leafs that crash go dark, as with a machine that has no power.
     Dark,
+    /// Other callers send a request with the same path and body, which is served.
+    Popular,
 }
 
 pub fn play_kills(record: &Arc<Record>, trouble: bool) -> Verdict {
@@ -53,6 +57,10 @@
     play(record, if trouble { Trouble::DeadSeeds } else { Trouble::None })
 }
 
+pub fn play_popular(record: &Arc<Record>, trouble: bool) -> Verdict {
+    play(record, if trouble { Trouble::Popular } else { Trouble::None })
+}
+
 pub fn play_dark(record: &Arc<Record>, trouble: bool) -> Verdict {
     play(record, if trouble { Trouble::Dark } else { Trouble::None })
 }
@@ -88,7 +96,11 @@
             while !stop.load(Ordering::SeqCst) {
                 number += 1;
                 let id = format!("c{machine}-{number}");
-                let _ = client::get(address, &format!("/lists/{number}"), &id, client::DEADLINE);
+                let path = match trouble {
+                    Trouble::Popular => POPULAR.to_owned(),
+                    _ => format!("/lists/{number}"),
+                };
+                let _ = client::get(address, &path, &id, client::DEADLINE);
                 thread::sleep(PAUSE);
             }
         });
@@ -102,8 +114,12 @@
             let machine = (round + retry) % machines.len();
             let id = format!("deadly-{round}-{retry}");
             let at = Instant::now();
-            let path = format!("/lists/{DEADLY}");
-            let status = client::get(machines[machine].front, &path, &id, client::DEADLINE);
+            let path = match trouble {
+                Trouble::Popular => POPULAR.to_owned(),
+                _ => format!("/lists/{DEADLY}"),
+            };
+            let front = machines[machine].front;
+            let status = client::get_as(DEADLY, front, &path, &id, client::DEADLINE);
             let status = status.map_or("no answer".to_owned(), |status| status.to_string());
             record.note_at(at, format!("sent {id} {path} to machine {machine}: {status}"));
             attempts.push((id, at));
--- a/review/src-2/record.rs
+++ b/review/src-2/record.rs
@@ -33,11 +33,6 @@
         lock(&self.lines).push((time, line.into()));
     }
 
-    /// Returns a time as it stands in the record, in seconds.
-    pub fn seconds(&self, at: Instant) -> f64 {
-        at.saturating_duration_since(self.started).as_secs_f64()
-    }
-
     pub fn write(&self, path: &Path) -> io::Result<()> {
         let mut lines = lock(&self.lines).clone();
         lines.sort_by_key(|(time, _)| *time);
--- a/review/src-2/store.rs
+++ b/review/src-2/store.rs
@@ -97,7 +97,6 @@
     }
 
     /// Removes an object; returns the time of the acknowledgement.
-    #[allow(dead_code, reason = "not every case removes objects")]
     pub fn remove(&self, kind: &str, name: &str) -> Instant {
         let mut state = lock(&self.state);
         if let Some(object) = state.objects.remove(&(kind.to_owned(), name.to_owned())) {
