--- a/review/src-2/poison.rs
+++ b/review/src-2/poison.rs
@@ -50,22 +50,23 @@
 }
 
 pub fn play_kills(record: &Arc<Record>, trouble: bool) -> Verdict {
-    play(record, if trouble { Trouble::Kills } else { Trouble::None })
+    play(record, if trouble { Trouble::Kills } else { Trouble::None }, true)
 }
 
 pub fn play_dead_seeds(record: &Arc<Record>, trouble: bool) -> Verdict {
-    play(record, if trouble { Trouble::DeadSeeds } else { Trouble::None })
+    // The fleet has run before, when its seeds did.
+    play(record, if trouble { Trouble::DeadSeeds } else { Trouble::None }, false)
 }
 
 pub fn play_popular(record: &Arc<Record>, trouble: bool) -> Verdict {
-    play(record, if trouble { Trouble::Popular } else { Trouble::None })
+    play(record, if trouble { Trouble::Popular } else { Trouble::None }, true)
 }
 
 pub fn play_dark(record: &Arc<Record>, trouble: bool) -> Verdict {
-    play(record, if trouble { Trouble::Dark } else { Trouble::None })
+    play(record, if trouble { Trouble::Dark } else { Trouble::None }, true)
 }
 
-fn play(record: &Arc<Record>, trouble: Trouble) -> Verdict {
+fn play(record: &Arc<Record>, trouble: Trouble, bootstrap: bool) -> Verdict {
     let failed = |error: std::io::Error| error.to_string();
     let store = Store::start().map_err(failed)?;
     let runs = Arc::<Runs>::default();
@@ -86,7 +87,7 @@
         _ => front::seeds(&machines),
     };
     record.note(format!("seeds: {}", seeds.join(" ")));
-    front::start(&mut machines, &seeds, trouble != Trouble::DeadSeeds).map_err(failed)?;
+    front::start(&mut machines, &seeds, bootstrap).map_err(failed)?;
     front::wait_until_ready(&machines)?;
     let stop = Arc::new(AtomicBool::new(false));
     for (machine, address) in machines.iter().map(|machine| machine.front).enumerate() {
--- a/review/src-2/refused.rs
+++ b/review/src-2/refused.rs
@@ -74,6 +74,8 @@
         }));
     }
     thread::sleep(BEFORE);
+    store.put("config", "main", front::config(16, &routes, &["lists"]));
+    record.note("version 16 acknowledged");
     let fault = Instant::now();
     record.note("all processes are killed");
     front::kill(&mut machines);
