Bound the memory that all requests hold together

Callers saw a process end and their requests with it: it ran out of memory when many clients sent bodies of legal size and stopped short of their end. Each limit held for one request; nothing counted all that the process holds.

policy::memory counts bodies while they arrive and while their requests run, by the capacity of their buffers, into which pieces are copied. Refusals are 503 with Retry-After: nothing of such a request was sent to a leaf. The bound is 3/16 of the memory in the settings file (256 MB if it states none).

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,6 +33,8 @@
     TooSlow,
     /// The instance sheds load.
     Overloaded,
+    /// The instance has no memory for the request.
+    NoMemory,
     /// No leaf ran the request.
     NotRun,
     /// The request crashes the leafs that run it, or is being tested for that.
@@ -48,9 +50,11 @@
     /// request was not run, 502 and 504 that it may have run.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotStarted | Self::Overloaded | Self::NotRun | Self::Quarantined => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotStarted
+            | Self::Overloaded
+            | Self::NoMemory
+            | Self::NotRun
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BrokenOff => StatusCode::BAD_REQUEST,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -8,9 +8,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use jaycrank_policy::capacity::Capacity;
 use jaycrank_policy::connections::FleetSize;
 use jaycrank_policy::deadline::Shutdown;
 use jaycrank_policy::extra_requests::Quota;
+use jaycrank_policy::memory::Memory;
 use jaycrank_policy::overload::Shedder;
 use jaycrank_policy::placement::ServiceTime;
 use jaycrank_policy::quarantine::Quarantine;
@@ -73,6 +75,8 @@
     pub caller_round_trip: Duration,
     /// Names of headers.
     pub names: Names,
+    /// Memory and descriptors that the process may use.
+    pub capacity: Capacity,
 }
 
 impl Options {
@@ -234,6 +238,7 @@
     shedder: Shedder,
     quarantine: Quarantine,
     successes: RecentSuccesses,
+    request_memory: Arc<Memory>,
     answer_memory: Arc<AnswerMemory>,
     metrics: Metrics,
     traffic: Arc<Traffic>,
@@ -267,6 +272,7 @@
                 .with_isolated_max(ISOLATED_RUNS_MAX)
                 .with_forwarding(),
             successes: RecentSuccesses::new(),
+            request_memory: Arc::new(Memory::new(options.capacity.request_bytes())),
             answer_memory: Arc::default(),
             metrics: Metrics::new(traffic.clone())?,
             traffic,
@@ -347,6 +353,11 @@
         &self.quarantine
     }
 
+    /// Returns the memory for the requests of callers.
+    pub fn request_memory(&self) -> &Arc<Memory> {
+        &self.request_memory
+    }
+
     /// Returns the memory that the bodies of leafs' answers take.
     pub fn answer_memory(&self) -> &Arc<AnswerMemory> {
         &self.answer_memory
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -138,7 +138,13 @@
     let limits = active.config().limits;
     let received = tokio::select! {
         biased;
-        received = request::receive(request, origin.peer, gateway.names(), &limits) => received,
+        received = request::receive(
+            request,
+            origin.peer,
+            gateway.names(),
+            &limits,
+            gateway.request_memory(),
+        ) => received,
         () = gateway.shutdown().ends_within(Duration::ZERO) => {
             return refuse(gateway, "", Refusal::NotRun, Some(RETRY_AFTER_BASE));
         }
@@ -146,6 +152,9 @@
     let received = match received {
         Ok(received) => received,
         Err(request::Error::TooLarge) => return refuse(gateway, "", Refusal::TooLarge, None),
+        Err(request::Error::Exhausted) => {
+            return refuse(gateway, "", Refusal::NoMemory, Some(RETRY_AFTER_BASE));
+        }
         Err(request::Error::BrokenOff) => return refuse(gateway, "", Refusal::BrokenOff, None),
         Err(request::Error::TooSlow) => return refuse(gateway, "", Refusal::TooSlow, None),
     };
@@ -647,7 +656,7 @@
     ) -> Handled {
         let time_left = self.deadline.requested().saturating_duration_since(Instant::now());
         let retry_after = match refusal {
-            Refusal::NotRun | Refusal::Overloaded => {
+            Refusal::NotRun | Refusal::Overloaded | Refusal::NoMemory => {
                 Some(jitter(RETRY_AFTER_BASE).min(time_left.mul_f64(RETRY_AFTER_DEADLINE_FRACTION)))
             }
             _ => None,
@@ -660,9 +669,9 @@
         let time = self.arrival.elapsed();
         let event = match handled.result {
             Ok(()) => Event::RequestAnswered,
-            Err(Refusal::Overloaded | Refusal::NotRun | Refusal::Quarantined) => {
-                Event::RequestRefused
-            }
+            Err(
+                Refusal::Overloaded | Refusal::NoMemory | Refusal::NotRun | Refusal::Quarantined,
+            ) => Event::RequestRefused,
             Err(_) => Event::RequestFailed,
         };
         event!(
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -1,14 +1,14 @@
 //! Reads the request of a caller.
 
 use std::net::IpAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header;
+use jaycrank_http::body;
+use jaycrank_policy::memory::Memory;
 use smol_str::SmolStr;
 use tokio::time::timeout;
 
@@ -35,35 +35,44 @@
 pub enum Error {
     /// The body exceeds the limit.
     TooLarge,
+    /// There is no memory for the body, or others needed it.
+    Exhausted,
     /// The connection ended before the whole body arrived.
     BrokenOff,
     /// The body did not arrive in time.
     TooSlow,
 }
 
+impl<E> From<body::Error<E>> for Error {
+    fn from(error: body::Error<E>) -> Self {
+        match error {
+            body::Error::TooLarge => Self::TooLarge,
+            body::Error::Exhausted => Self::Exhausted,
+            body::Error::Incomplete(_) => Self::BrokenOff,
+        }
+    }
+}
+
 /// Reads the whole body and removes the headers that are not forwarded.
 ///
 /// # Errors
 ///
-/// Returns [`Error`] if the body is too large, ends early or takes longer than the idle timeout.
+/// Returns [`Error`] if the body is too large, can't be held in `memory`, ends early or takes longer
+/// than the idle timeout.
 pub async fn receive(
     request: Request<Incoming>,
     caller: IpAddr,
     names: &Names,
     limits: &Limits,
+    memory: &Arc<Memory>,
 ) -> Result<Received, Error> {
     let (head, body) = request.into_parts();
     let host = text(&head.headers, &header::HOST).or_else(|| head.uri.host()).unwrap_or_default();
     let host = SmolStr::new(host);
-    let body =
-        match timeout(limits.idle_time, Limited::new(body, limits.body_bytes).collect()).await {
-            Err(_) => return Err(Error::TooSlow),
-            Ok(body) => body,
-        };
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => return Err(Error::TooLarge),
-        Err(_) => return Err(Error::BrokenOff),
+    let body = body::receive(body, limits.body_bytes, memory);
+    let body = match timeout(limits.idle_time, body).await {
+        Ok(body) => body?,
+        Err(_) => return Err(Error::TooSlow),
     };
     let timeout = deadline_ms(&head.headers, names).map(Duration::from_millis);
     let id = SmolStr::new(text(&head.headers, &names.request_id).unwrap_or_default());
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -19,6 +19,7 @@
 use jaycrank_gateway::config::Service;
 use jaycrank_gateway::header::Names;
 use jaycrank_gateway::lifecycle::Instance;
+use jaycrank_policy::capacity::Capacity;
 use jaycrank_policy::route::Route;
 use jaycrank_policy::route::Target;
 use jaycrank_standin::Catalog;
@@ -82,6 +83,7 @@
         grace: Duration::from_secs(10),
         caller_round_trip: Duration::ZERO,
         names: Names::default(),
+        capacity: Capacity::default(),
     }
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,10 +1,11 @@
 //! HTTP servers and clients shared by the crates of jaycrank.
 //!
 //! [`server`] runs a server with limits on connections, headers, bodies and times, and with
-//! graceful shutdown. [`request`] reads bearer tokens and bodies. [`client`] is a client with a
+//! graceful shutdown. [`body`] receives bodies into bounded memory, [`request`] reads bearer tokens and bodies. [`client`] is a client with a
 //! connection pool, whose errors tell whether the server may have received the request. [`json`]
 //! builds on it for JSON APIs. [`socket`] sets TCP options.
 
+pub mod body;
 pub mod client;
 pub mod json;
 pub mod request;
--- /dev/null
+++ b/crates/policy/src/capacity.rs
@@ -0,0 +1,87 @@
+//! Division of a process's memory and descriptors among what it holds.
+
+/// Memory of a process that states none, in bytes.
+const MEMORY_DEFAULT: usize = 256 << 20;
+/// Descriptors of a process that states none.
+const DESCRIPTORS_DEFAULT: usize = 4_096;
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: usize = 200;
+/// Parts of the memory, in sixteenths. The others are for routes, leafs and the connections to them.
+const CONNECTION_SIXTEENTHS: usize = 4;
+const BODY_SIXTEENTHS: usize = 3;
+const ANSWER_SIXTEENTHS: usize = 3;
+/// Parts of the descriptors of sockets, in sixteenths. The others are for connections to leafs and to
+/// the catalog.
+const CALLER_SIXTEENTHS: usize = 6;
+const PEER_SIXTEENTHS: usize = 2;
+/// Memory that a connection takes beside its bodies, in bytes: its buffers, its head, its task, and
+/// what the system holds of it.
+const CONNECTION_BYTES: usize = 20 << 10;
+/// Bytes that the system holds of what a connection has received and the process has not read.
+pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Connections of a listener for probes and metrics.
+const PROBE_CONNECTIONS: usize = 32;
+/// Fewest connections of a listener.
+const CONNECTIONS_MIN: usize = 8;
+
+/// Memory and descriptors that a process may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    memory: usize,
+    descriptors: usize,
+}
+
+impl Default for Capacity {
+    fn default() -> Self {
+        Self { memory: MEMORY_DEFAULT, descriptors: DESCRIPTORS_DEFAULT }
+    }
+}
+
+impl Capacity {
+    /// Sets the memory, in bytes.
+    pub fn with_memory(mut self, bytes: usize) -> Self {
+        self.memory = bytes;
+        self
+    }
+
+    /// Sets the number of descriptors, those of files included.
+    pub fn with_descriptors(mut self, descriptors: usize) -> Self {
+        self.descriptors = descriptors;
+        self
+    }
+
+    /// Returns the most connections of callers.
+    pub fn caller_connections(&self) -> usize {
+        let each = CONNECTION_BYTES + RECEIVE_BUFFER_BYTES;
+        let by_memory = sixteenths(self.memory, CONNECTION_SIXTEENTHS) / each;
+        by_memory.min(self.sockets(CALLER_SIXTEENTHS)).max(CONNECTIONS_MIN)
+    }
+
+    /// Returns the most connections of other instances.
+    pub fn peer_connections(&self) -> usize {
+        self.sockets(PEER_SIXTEENTHS).max(CONNECTIONS_MIN)
+    }
+
+    /// Returns the most connections for probes or metrics.
+    pub fn probe_connections(&self) -> usize {
+        PROBE_CONNECTIONS
+    }
+
+    /// Returns the memory for requests, in bytes: their bodies, and what they hold while they run.
+    pub fn request_bytes(&self) -> usize {
+        sixteenths(self.memory, BODY_SIXTEENTHS)
+    }
+
+    /// Returns the memory for answers until they are sent, in bytes.
+    pub fn answer_bytes(&self) -> usize {
+        sixteenths(self.memory, ANSWER_SIXTEENTHS)
+    }
+
+    fn sockets(&self, parts: usize) -> usize {
+        sixteenths(self.descriptors.saturating_sub(FILE_DESCRIPTORS), parts)
+    }
+}
+
+fn sixteenths(whole: usize, parts: usize) -> usize {
+    whole / 16 * parts
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! its share. [`rendezvous`] decides which instance owns a key.
 //!
 //! A request to the gateway is admitted or refused by [`overload`] and matched with a [`route`].
+//! What a process holds for its clients stays within [`memory`], a part of its [`capacity`].
 //! [`placement`] chooses the leaf with the lowest expected latency among those that [`presence`]
 //! considers present, and [`connections`] limits this instance's connections to it. [`timing`] sets
 //! the hedge delay and the time from which a partial answer is sent, [`attempts`] and
@@ -25,6 +26,7 @@
 pub mod admission;
 pub mod attempts;
 pub mod budget;
+pub mod capacity;
 pub mod concurrency;
 pub mod connections;
 pub mod deadline;
@@ -38,6 +40,7 @@
 pub mod hold;
 pub mod load_report;
 pub mod losses;
+pub mod memory;
 pub mod merge;
 pub mod overload;
 pub mod placement;
