Count answers until they are sent

A process ran out of memory when callers did not read large answers, which ended the requests of all. The bound on leafs' answers held only while an answer was read from its leaf; afterwards it waited in the connection of its caller, uncounted.

The reservation now belongs to the bytes of the answer, so it ends when the last of them is sent.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
@@ -23,9 +22,11 @@
 use hyper::http::uri::PathAndQuery;
 use jaycrank_event::Event;
 use jaycrank_event::event;
+use jaycrank_http::body;
 use jaycrank_policy::deadline::Deadline;
 use jaycrank_policy::hold::Hold;
 use jaycrank_policy::load_report;
+use jaycrank_policy::memory::Memory;
 use jaycrank_policy::placement::Ticket;
 use jaycrank_policy::quarantine;
 use jaycrank_policy::quarantine::Fingerprint;
@@ -36,8 +37,6 @@
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
-use crate::answer_memory::AnswerMemory;
-use crate::answer_memory::Reservation;
 use crate::header::Names;
 use crate::header::number;
 use crate::header::text;
@@ -207,8 +206,8 @@
     pub rate_limits: Arc<RateLimits>,
     /// Rests that leafs ask for.
     pub rests: Arc<Rests>,
-    /// Memory that the bodies of answers take.
-    pub answer_memory: Arc<AnswerMemory>,
+    /// Memory for answers until they are sent.
+    pub answer_memory: Arc<Memory>,
 }
 
 /// Outcome of an attempt, with the service time if the leaf answered.
@@ -315,13 +314,18 @@
     record_limit(leaf, context, &head, sent);
     record_leaving(leaf, context, &head);
     let rests = record_rest(leaf, context, &head);
-    let body = match read_body(body, &context.answer_memory).await {
+    let body = match body::read(body, ANSWER_BYTES_MAX, &context.answer_memory).await {
         Ok(body) => body,
-        Err(BodyError::TooLarge) => {
+        Err(body::Error::TooLarge) => {
             observation.fail();
             return (Outcome::Lost("response body too large".into()), None);
         }
-        Err(BodyError::Incomplete(error)) => {
+        Err(body::Error::Exhausted) => {
+            // The leaf is not broken.
+            drop(observation);
+            return (Outcome::Lost("no memory for the response body".into()), None);
+        }
+        Err(body::Error::Incomplete(error)) => {
             observation.fail();
             let detail = format_smolstr!("response body incomplete: {error}");
             return (broken_or_crashed(leaf, lease, detail).await, None);
@@ -498,36 +502,6 @@
     }
 }
 
-/// Failure to read the body of an answer.
-enum BodyError {
-    /// The body, or all bodies together, exceed their bound.
-    TooLarge,
-    /// The connection broke.
-    Incomplete(hyper::Error),
-}
-
-/// Reads a whole body within the bounds on one body and on all of them.
-async fn read_body(body: Incoming, memory: &Arc<AnswerMemory>) -> Result<Bytes, BodyError> {
-    let mut reservation = Reservation::new(memory);
-    let mut body = body;
-    let mut first = Bytes::new();
-    let mut whole = Vec::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.map_err(BodyError::Incomplete)?.into_data() else { continue };
-        if !reservation.try_grow(data.len()) || reservation.bytes() > ANSWER_BYTES_MAX {
-            return Err(BodyError::TooLarge);
-        }
-        // Most bodies are a single frame, which needs no copy.
-        if first.is_empty() && whole.is_empty() {
-            first = data;
-        } else {
-            whole.extend_from_slice(&std::mem::take(&mut first));
-            whole.extend_from_slice(&data);
-        }
-    }
-    Ok(if whole.is_empty() { first } else { whole.into() })
-}
-
 fn set_deadline(request: &mut Request<Full<Bytes>>, context: &Context) {
     let remaining = context.deadline.at().saturating_duration_since(Instant::now());
     let value = (remaining.as_millis() as u64).max(1).into();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,7 +27,6 @@
 use smol_str::format_smolstr;
 use tokio::time::Instant;
 
-use crate::answer_memory::AnswerMemory;
 use crate::attempt::Outgoing;
 use crate::directory::Directory;
 use crate::header::Names;
@@ -243,7 +242,7 @@
     quarantine: Quarantine,
     successes: RecentSuccesses,
     request_memory: Arc<Memory>,
-    answer_memory: Arc<AnswerMemory>,
+    answer_memory: Arc<Memory>,
     metrics: Metrics,
     traffic: Arc<Traffic>,
 }
@@ -278,7 +277,7 @@
                 .with_forwarding(),
             successes: RecentSuccesses::new(),
             request_memory: Arc::new(Memory::new(options.capacity.request_bytes())),
-            answer_memory: Arc::default(),
+            answer_memory: Arc::new(Memory::new(options.capacity.answer_bytes())),
             metrics: Metrics::new(traffic.clone())?,
             traffic,
         })
@@ -380,8 +379,8 @@
         &self.request_memory
     }
 
-    /// Returns the memory that the bodies of leafs' answers take.
-    pub fn answer_memory(&self) -> &Arc<AnswerMemory> {
+    /// Returns the memory for the answers of leafs until they are sent to callers.
+    pub fn answer_memory(&self) -> &Arc<Memory> {
         &self.answer_memory
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,6 @@
 
 pub mod admin;
 pub mod answer;
-pub mod answer_memory;
 pub mod attempt;
 pub mod call;
 pub mod catalog;
