Bound the memory for messages of other instances

The listener for other instances had the fault of the one for callers: 40 messages of the largest size that stop short of their end took 184 MB of 64 MB, which ends the process. A message had a bound, all of them together had none.

Messages are received as bodies are, into 1/16 of the memory. It is apart from that of callers, so that a crowd of callers does not hold up configurations. A message without memory gets 503: it was not decoded.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,14 +11,13 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use jaycrank_http::Client;
+use jaycrank_http::body;
 use jaycrank_policy::clients::Counts;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -134,15 +133,22 @@
             return reply(StatusCode::NOT_FOUND, Vec::new());
         };
         let id = request.headers().get(CALL_ID_HEADER).cloned();
-        let body = Limited::new(request.into_body(), MESSAGE_BYTES_MAX).collect();
+        let memory = self.gateway.message_memory();
+        let body = body::receive(request.into_body(), MESSAGE_BYTES_MAX, memory);
         let body = tokio::select! {
             biased;
             body = timeout(BODY_TIMEOUT, body) => body,
             () = origin.client.closing() => return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
         };
-        let Ok(Ok(body)) = body else { return reply(StatusCode::BAD_REQUEST, Vec::new()) };
+        let body = match body {
+            Ok(Ok(body)) => body,
+            Ok(Err(body::Error::Exhausted)) => {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+            }
+            _ => return reply(StatusCode::BAD_REQUEST, Vec::new()),
+        };
         origin.client.record_request(Instant::now().into_std());
-        let mut reply = match service.respond(&body.to_bytes()).await {
+        let mut reply = match service.respond(&body).await {
             Ok(body) => reply(StatusCode::OK, body),
             Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
         };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -243,6 +243,7 @@
     successes: RecentSuccesses,
     request_memory: Arc<Memory>,
     answer_memory: Arc<Memory>,
+    message_memory: Arc<Memory>,
     metrics: Metrics,
     traffic: Arc<Traffic>,
 }
@@ -278,6 +279,7 @@
             successes: RecentSuccesses::new(),
             request_memory: Arc::new(Memory::new(options.capacity.request_bytes())),
             answer_memory: Arc::new(Memory::new(options.capacity.answer_bytes())),
+            message_memory: Arc::new(Memory::new(options.capacity.message_bytes())),
             metrics: Metrics::new(traffic.clone())?,
             traffic,
         })
@@ -384,6 +386,11 @@
         &self.answer_memory
     }
 
+    /// Returns the memory for messages of other instances.
+    pub fn message_memory(&self) -> &Arc<Memory> {
+        &self.message_memory
+    }
+
     /// Returns the counts of messages and bytes.
     pub fn traffic(&self) -> &Arc<Traffic> {
         &self.traffic
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -10,6 +10,7 @@
 const CONNECTION_SIXTEENTHS: usize = 4;
 const BODY_SIXTEENTHS: usize = 3;
 const ANSWER_SIXTEENTHS: usize = 3;
+const MESSAGE_SIXTEENTHS: usize = 1;
 /// Parts of the descriptors of sockets, in sixteenths. The others are for connections to leafs and to
 /// the catalog.
 const CALLER_SIXTEENTHS: usize = 6;
@@ -77,6 +78,11 @@
         sixteenths(self.memory, ANSWER_SIXTEENTHS)
     }
 
+    /// Returns the memory for messages of other instances, in bytes.
+    pub fn message_bytes(&self) -> usize {
+        sixteenths(self.memory, MESSAGE_SIXTEENTHS)
+    }
+
     fn sockets(&self, parts: usize) -> usize {
         sixteenths(self.descriptors.saturating_sub(FILE_DESCRIPTORS), parts)
     }
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -244,6 +244,11 @@
         self.bytes += bytes;
         Ok(())
     }
+
+    /// Returns bytes that keep this reservation.
+    pub fn hold(self, body: Vec<u8>) -> Buffer {
+        Buffer { bytes_max: body.len(), body, reservation: self }
+    }
 }
 
 impl Drop for Reservation {
