Bound the connections to leafs over all leafs

A process ran out of descriptors, so that callers could not connect and the store was out of reach, when 20 requests waited for 90 shards each: 569 of 500 sockets. Each leaf bounds the connections to itself, two for each of its slots; nothing bounded them over all leafs.

gateway::sockets holds permits for 6/16 of the descriptors of sockets, which last as long as the stream. A request without a permit waits for 400 ms, while connections that have been idle for 100 ms are closed; then it is not sent to that leaf. That is no sign that the leaf is out of reach.

The tests of the gateway pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -289,7 +289,8 @@
 async fn acquire(leaf: &Leaf, context: &Context, fresh: bool) -> Result<Lease, pool::Error> {
     let acquired = leaf.pool().acquire(fresh).await;
     let is_new = acquired.as_ref().map_or(true, |lease| lease.connect_time.is_some());
-    if is_new {
+    // Without a socket nothing shows whether the leaf is reachable.
+    if is_new && !matches!(acquired, Err(pool::Error::NoSocket)) {
         context.reachability.record_connect(acquired.is_ok());
     }
     acquired
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use jaycrank_event::Event;
@@ -26,6 +27,7 @@
 use crate::leaf::Leaf;
 use crate::leaf::LeafKey;
 use crate::pool::Pool;
+use crate::sockets::Sockets;
 use crate::topology::Distance;
 use crate::topology::Topology;
 use crate::traffic::Kind;
@@ -41,6 +43,7 @@
 pub struct Directory {
     topology: Topology,
     traffic: Arc<Traffic>,
+    sockets: Arc<Sockets>,
     state: Mutex<State>,
     changed: watch::Sender<()>,
 }
@@ -75,7 +78,29 @@
     /// Creates an empty directory. `fleet` is the assumed size of the fleet.
     pub fn new(topology: Topology, fleet: FleetSize, traffic: Arc<Traffic>) -> Self {
         let state = State { fleet: Some(fleet), ..State::default() };
-        Self { topology, traffic, state: Mutex::new(state), changed: watch::channel(()).0 }
+        Self {
+            topology,
+            traffic,
+            sockets: Arc::default(),
+            state: Mutex::new(state),
+            changed: watch::channel(()).0,
+        }
+    }
+
+    /// Sets the permits of the connections to all leafs.
+    pub fn with_sockets(mut self, sockets: Arc<Sockets>) -> Self {
+        self.sockets = sockets;
+        self
+    }
+
+    /// Returns the permits of the connections to all leafs.
+    pub(crate) fn sockets(&self) -> &Arc<Sockets> {
+        &self.sockets
+    }
+
+    /// Closes connections to leafs that have been idle for at least `time`.
+    pub(crate) fn close_idle(&self, time: Duration) {
+        self.lock().leafs.values().for_each(|leaf| leaf.pool().close_idle(time));
     }
 
     /// Returns a receiver that is notified of each change.
@@ -333,7 +358,8 @@
         let fleet = state.fleet.unwrap_or(FleetSize { own_region: 1, all: 1 });
         let distance = self.topology.distance(&entry.failure_domain);
         let pool = Pool::new(entry.address, ConnectionLimit::new(bounds, fleet))
-            .with_counter(self.traffic.counter(Kind::Leafs, distance).clone());
+            .with_counter(self.traffic.counter(Kind::Leafs, distance).clone())
+            .with_sockets(self.sockets.clone());
         let leaf = Arc::new(Leaf::new(entry.clone(), pool, revision, now));
         if let Some((started_ms, at)) = state.leaving.get(&entry.id)
             && *started_ms == entry.started_ms
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::reachability::Reachability;
 use crate::rest::Rests;
 use crate::round_trip::Estimator;
+use crate::sockets::Sockets;
 use crate::topology::Topology;
 use crate::traffic::Traffic;
 
@@ -258,9 +259,11 @@
         let round_trips = Estimator::new(options.topology());
         let traffic = Arc::<Traffic>::default();
         let (topology, fleet) = (options.topology(), options.assumed_fleet_size());
+        let sockets = Sockets::new(options.capacity.leaf_connections());
         Ok(Self {
             capacity: options.capacity,
-            directory: Directory::new(topology, fleet, traffic.clone()),
+            directory: Directory::new(topology, fleet, traffic.clone())
+                .with_sockets(Arc::new(sockets)),
             round_trips: Arc::new(round_trips),
             names: Arc::new(options.names.clone()),
             quotas: Quotas::new(options),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 pub mod run;
 pub mod sent;
 pub mod server;
+pub mod sockets;
 mod suspicion;
 pub mod token_exchange;
 pub mod token_owner;
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -21,6 +21,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
+use tokio::time::interval;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
@@ -72,6 +73,11 @@
 /// Interval at which expired leafs are dropped and idle connections closed.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Idle time after which a connection to a leaf is closed if another one is wanted.
+const SPARE_IDLE_TIME: Duration = Duration::from_millis(100);
+/// Shortest interval at which such connections are closed.
+const SPARE_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval at which the counts of messages and bytes are logged.
 const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -269,8 +275,15 @@
 }
 
 async fn sweep(gateway: Arc<Gateway>) {
+    let directory = gateway.directory();
+    let mut due = interval(SWEEP_INTERVAL);
     loop {
-        sleep(SWEEP_INTERVAL).await;
-        gateway.directory().sweep(Instant::now().into_std());
+        tokio::select! {
+            _ = due.tick() => directory.sweep(Instant::now().into_std()),
+            () = directory.sockets().wanted() => {
+                directory.close_idle(SPARE_IDLE_TIME);
+                sleep(SPARE_INTERVAL).await;
+            }
+        }
     }
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -30,6 +30,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::sockets::Sockets;
 use crate::traffic::Counted;
 use crate::traffic::Counter;
 use crate::witness::Registration;
@@ -96,11 +97,19 @@
 
 /// Failure to obtain a connection; no byte of the request was sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Error(pub SmolStr);
+pub enum Error {
+    /// The process has as many connections to leafs as it may have.
+    NoSocket,
+    /// The connection could not be opened.
+    Failed(SmolStr),
+}
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "cannot connect: {}", self.0)
+        match self {
+            Self::NoSocket => write!(f, "cannot connect: too many connections to leafs"),
+            Self::Failed(cause) => write!(f, "cannot connect: {cause}"),
+        }
     }
 }
 
@@ -113,6 +122,7 @@
     idle: Mutex<Vec<Connection>>,
     witnesses: Arc<Witnesses>,
     counter: Arc<Counter>,
+    sockets: Arc<Sockets>,
     /// Number of requests that wait for a permit.
     waiting: AtomicUsize,
     /// Start of the last probe, and whether the leaf refused the connection.
@@ -152,6 +162,7 @@
             idle: Mutex::default(),
             witnesses: Arc::default(),
             counter: Arc::default(),
+            sockets: Arc::default(),
             waiting: AtomicUsize::new(0),
             probe: tokio::sync::Mutex::default(),
         }
@@ -163,6 +174,12 @@
         self
     }
 
+    /// Sets the permits of the connections to all leafs.
+    pub fn with_sockets(mut self, sockets: Arc<Sockets>) -> Self {
+        self.sockets = sockets;
+        self
+    }
+
     /// Counts a request to the leaf.
     pub(crate) fn record_request(&self) {
         self.counter.record_message();
@@ -220,10 +237,13 @@
         if !fresh && let Some(connection) = self.take_idle() {
             return Ok(Lease { connection, connect_time: None, permit });
         }
+        let Ok(Some(socket)) = timeout(CONNECT_TIMEOUT, self.sockets.acquire()).await else {
+            return Err(Error::NoSocket);
+        };
         let started = Instant::now();
-        let connection = match timeout(CONNECT_TIMEOUT, self.open()).await {
+        let connection = match timeout(CONNECT_TIMEOUT, self.open(socket)).await {
             Ok(opened) => opened?,
-            Err(_) => return Err(Error("connect timeout".into())),
+            Err(_) => return Err(Error::Failed("connect timeout".into())),
         };
         Ok(Lease { connection, connect_time: Some(started.elapsed()), permit })
     }
@@ -265,6 +285,13 @@
         idle.extend(last.filter(|last| is_kept(last, true)));
     }
 
+    /// Closes connections that have been idle for at least `time`.
+    pub(crate) fn close_idle(&self, time: Duration) {
+        let now = Instant::now();
+        let idle = |connection: &Connection| now.saturating_duration_since(connection.idle_since);
+        self.lock().retain(|connection| idle(connection) < time);
+    }
+
     /// Finds out whether the process of the leaf has ended, after the connection of a lease broke:
     /// then the leaf refuses new connections, or all others broke too.
     pub(crate) async fn examine(&self, lease: Lease) -> Verdict {
@@ -299,7 +326,9 @@
         let started = Instant::now();
         let refused = match timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => {
-                if let Ok(connection) = self.set_up(stream).await {
+                if let Some(socket) = self.sockets.try_acquire()
+                    && let Ok(connection) = self.set_up(stream, socket).await
+                {
                     self.keep_idle(connection, 0);
                 }
                 false
@@ -314,7 +343,9 @@
 
     /// Returns whether the leaf accepts a new connection, which is kept for reuse.
     pub(crate) async fn try_open(&self) -> bool {
-        match self.open().await {
+        let Ok(stream) = TcpStream::connect(self.address).await else { return false };
+        let Some(socket) = self.sockets.try_acquire() else { return true };
+        match self.set_up(stream, socket).await {
             Ok(connection) => {
                 self.keep_idle(connection, 0);
                 true
@@ -333,12 +364,16 @@
         }
     }
 
-    async fn open(&self) -> Result<Connection, Error> {
+    async fn open(&self, socket: OwnedSemaphorePermit) -> Result<Connection, Error> {
         let stream = TcpStream::connect(self.address).await.map_err(connect_error)?;
-        self.set_up(stream).await
+        self.set_up(stream, socket).await
     }
 
-    async fn set_up(&self, stream: TcpStream) -> Result<Connection, Error> {
+    async fn set_up(
+        &self,
+        stream: TcpStream,
+        socket: OwnedSemaphorePermit,
+    ) -> Result<Connection, Error> {
         set_tcp_options(&stream).map_err(connect_error)?;
         let stream = Counted::new(stream, self.counter.clone());
         let (sender, driver) =
@@ -347,6 +382,8 @@
         let (witnesses, id) = (self.witnesses.clone(), registration.id());
         // The result is ignored: an error of the connection is reported by the request that uses it.
         let driver = tokio::spawn(async move {
+            // The permit is held for as long as the stream, which the driver owns.
+            let _socket = socket;
             drop(driver.await);
             witnesses.record_close(id);
         });
@@ -379,5 +416,5 @@
 
 #[cold]
 fn connect_error(error: impl fmt::Display) -> Error {
-    Error(format_smolstr!("{error}"))
+    Error::Failed(format_smolstr!("{error}"))
 }
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -11,10 +11,11 @@
 const BODY_SIXTEENTHS: usize = 3;
 const ANSWER_SIXTEENTHS: usize = 3;
 const MESSAGE_SIXTEENTHS: usize = 1;
-/// Parts of the descriptors of sockets, in sixteenths. The others are for connections to leafs and to
-/// the catalog.
+/// Parts of the descriptors of sockets, in sixteenths. The others are for probes, for connections to
+/// other instances and to the catalog.
 const CALLER_SIXTEENTHS: usize = 6;
 const PEER_SIXTEENTHS: usize = 2;
+const LEAF_SIXTEENTHS: usize = 6;
 /// Memory that a connection takes beside its bodies, in bytes: its buffers, its head, its task, and
 /// what the system holds of it.
 const CONNECTION_BYTES: usize = 20 << 10;
@@ -63,6 +64,11 @@
         self.sockets(PEER_SIXTEENTHS).max(CONNECTIONS_MIN)
     }
 
+    /// Returns the most connections to leafs, over all leafs.
+    pub fn leaf_connections(&self) -> usize {
+        self.sockets(LEAF_SIXTEENTHS).max(CONNECTIONS_MIN)
+    }
+
     /// Returns the most connections for probes or metrics.
     pub fn probe_connections(&self) -> usize {
         PROBE_CONNECTIONS
