Count what a request takes while it runs

A process ran out of memory when requests to many shards waited for silent leafs: 175 MB of 64 MB for 187 requests to 90 shards. For each shard a request takes about 9.5 KB, far more than its body, and nothing counted it.

A request now takes 9 KiB and twice its head for each shard from the memory for requests before it is sent, or is refused with 503: nothing of it was sent. That memory is 4/16 of the whole from here on, and that for connections of callers 3/16.

--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -11,7 +11,9 @@
 use hyper::header::HeaderValue;
 use jaycrank_event::Event;
 use jaycrank_event::event;
+use jaycrank_policy::capacity;
 use jaycrank_policy::deadline::Deadline;
+use jaycrank_policy::memory::Exhausted;
 use jaycrank_policy::merge;
 use jaycrank_policy::quarantine::Isolation;
 use jaycrank_policy::quarantine::Turn;
@@ -267,8 +269,14 @@
             arrival: self.arrival,
             completed: false,
         };
+        let mut memory = self.gateway.request_memory().reserve();
         let handled = match self.gateway.shedder().admit(self.route) {
-            Some(_admitted) => self.serve_until_shutdown().await,
+            Some(_admitted) => match memory.grow(self.running_bytes(), Instant::now().into_std()) {
+                Ok(()) => self.serve_until_shutdown().await,
+                Err(Exhausted) => {
+                    self.refused(Refusal::NoMemory, Refusal::NoMemory.into(), (0, 0), 0)
+                }
+            },
             None => self.refused(Refusal::Overloaded, "processor", (0, 0), 0),
         };
         guard.completed = true;
@@ -281,6 +289,13 @@
         handled.reply
     }
 
+    /// Returns the memory that the request takes while it runs, beside its body.
+    fn running_bytes(&self) -> usize {
+        let headers = self.outgoing.headers.iter();
+        let head = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
+        capacity::running_bytes(self.route.target.parts(), head)
+    }
+
     /// Serves the request, or ends it in time for its response to leave before the instance stops.
     async fn serve_until_shutdown(&self) -> Handled {
         tokio::select! {
--- a/crates/policy/src/capacity.rs
+++ b/crates/policy/src/capacity.rs
@@ -7,8 +7,8 @@
 /// Descriptors that are kept for files.
 const FILE_DESCRIPTORS: usize = 200;
 /// Parts of the memory, in sixteenths. The others are for routes, leafs and the connections to them.
-const CONNECTION_SIXTEENTHS: usize = 4;
-const BODY_SIXTEENTHS: usize = 3;
+const CONNECTION_SIXTEENTHS: usize = 3;
+const REQUEST_SIXTEENTHS: usize = 4;
 const ANSWER_SIXTEENTHS: usize = 3;
 const MESSAGE_SIXTEENTHS: usize = 1;
 /// Parts of the descriptors of sockets, in sixteenths. The others are for probes, for connections to
@@ -21,6 +21,8 @@
 const CONNECTION_BYTES: usize = 20 << 10;
 /// Bytes that the system holds of what a connection has received and the process has not read.
 pub const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// Memory that a request takes for each shard while it waits for the answer, in bytes.
+const SHARD_BYTES: usize = 9 << 10;
 /// Connections of a listener for probes and metrics.
 const PROBE_CONNECTIONS: usize = 32;
 /// Fewest connections of a listener.
@@ -76,7 +78,7 @@
 
     /// Returns the memory for requests, in bytes: their bodies, and what they hold while they run.
     pub fn request_bytes(&self) -> usize {
-        sixteenths(self.memory, BODY_SIXTEENTHS)
+        sixteenths(self.memory, REQUEST_SIXTEENTHS)
     }
 
     /// Returns the memory for answers until they are sent, in bytes.
@@ -94,6 +96,12 @@
     }
 }
 
+/// Returns the memory that a request takes while it runs, beside its body: for each of the `shards` that
+/// it is sent to, a copy of the head among other things.
+pub fn running_bytes(shards: usize, head_bytes: usize) -> usize {
+    shards.saturating_mul(SHARD_BYTES + 2 * head_bytes)
+}
+
 fn sixteenths(whole: usize, parts: usize) -> usize {
     whole / 16 * parts
 }
