Take only answers with a final status from leafs

A caller got 101 or 600 as the status of its answer when a leaf in trouble sent it; 000, as other operators saw it, is an error to the HTTP library here and became 502. The library takes every status from 100 to 999 and skips those of 1xx that precede an answer, but not 101.

An answer counts only with a status from 200 to 599. Any other is lost: the request goes to another leaf if it may run again, else the caller gets 502 (may have run), and the connection is closed. The same holds for answers that another instance passes on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -312,6 +312,12 @@
         // The connection is dropped: what it still holds belongs to another request.
         return (Outcome::Lost("response to another request".into()), None);
     }
+    if !is_final(head.status) {
+        // The connection is dropped: it is not known what follows such an answer.
+        observation.fail();
+        let detail = format_smolstr!("status {}, which is not final", head.status.as_u16());
+        return (Outcome::Lost(detail), None);
+    }
     record_limit(leaf, context, &head, sent);
     record_leaving(leaf, context, &head);
     let rests = record_rest(leaf, context, &head);
@@ -379,6 +385,12 @@
     (Outcome::Answered(Answer { status: head.status, headers, body, signature }), time)
 }
 
+/// Returns whether a status is one of a final answer in HTTP, which may be passed to a caller. The HTTP
+/// library takes any of three digits.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns whether a response is one to this request. On a connection that is `reused`, a success
 /// without an id may be a late copy of an earlier answer if the leaf states the id otherwise.
 fn is_own_response(
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -36,6 +36,7 @@
 
 use crate::answer::Reply;
 use crate::attempt::Outgoing;
+use crate::attempt::is_final;
 use crate::call;
 use crate::call::Service;
 use crate::config::Version;
@@ -378,7 +379,7 @@
 
 fn reply(status: u16, headers: &[(SmolStr, Bytes)], body: Bytes) -> Option<Reply> {
     let mut reply = Response::new(Full::new(body));
-    *reply.status_mut() = StatusCode::from_u16(status).ok()?;
+    *reply.status_mut() = StatusCode::from_u16(status).ok().filter(|status| is_final(*status))?;
     *reply.headers_mut() = decode_headers(headers)?;
     Some(reply)
 }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -31,6 +31,8 @@
     Answer(Vec<u8>, Duration),
     /// Runs the request and answers with this status.
     Status(u16),
+    /// Runs the request and answers with this first line, which may not be one of HTTP.
+    FirstLine(&'static str),
     /// Rejects the request with this status, without running it.
     Reject(u16),
     /// Runs the request and closes the connection.
@@ -414,6 +416,10 @@
                 let headers = matching + rest(status);
                 stream.write_all(&response(status, b"failure", &headers)).await?;
             }
+            Reaction::FirstLine(line) => {
+                let response = format!("{line}\r\n{matching}content-length: 7\r\n\r\nfailure");
+                stream.write_all(response.as_bytes()).await?;
+            }
             Reaction::Close => return Ok(()),
             Reaction::Truncate => {
                 let whole = response(200, &[7; 64], &matching);
