Count requests and answers that pass through another instance

Copies in messages, the decoded request, the encoded answer and the answer in the caller's connection belonged to no bound.

Each of them now counts in the memory for requests or for answers. A message is dropped as soon as it is decoded.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -84,7 +84,7 @@
     /// # Errors
     ///
     /// [`Error::Invalid`] if the message can't be decoded.
-    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, Error>;
+    async fn respond(&self, message: Bytes) -> Result<Bytes, Error>;
 }
 
 /// Service that answers each message at once, from the state of a gateway.
@@ -102,8 +102,8 @@
 
 #[async_trait]
 impl<M: DeserializeOwned, R: Serialize> Service for Answerer<M, R> {
-    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, Error> {
-        encode(&(self.answer)(&self.gateway, decode(message)?))
+    async fn respond(&self, message: Bytes) -> Result<Bytes, Error> {
+        Ok(encode(&(self.answer)(&self.gateway, decode(&message)?))?.into())
     }
 }
 
@@ -130,7 +130,7 @@
 impl Handler for Dispatcher {
     async fn handle(&self, request: Request<Incoming>, origin: Origin) -> Reply {
         let Some(service) = self.services.get(request.uri().path()).cloned() else {
-            return reply(StatusCode::NOT_FOUND, Vec::new());
+            return reply(StatusCode::NOT_FOUND, Bytes::new());
         };
         let id = request.headers().get(CALL_ID_HEADER).cloned();
         let memory = self.gateway.message_memory();
@@ -138,19 +138,19 @@
         let body = tokio::select! {
             biased;
             body = timeout(BODY_TIMEOUT, body) => body,
-            () = origin.client.closing() => return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new()),
+            () = origin.client.closing() => return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
         };
         let body = match body {
             Ok(Ok(body)) => body,
             Ok(Err(body::Error::Exhausted)) => {
-                return reply(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
             }
-            _ => return reply(StatusCode::BAD_REQUEST, Vec::new()),
+            _ => return reply(StatusCode::BAD_REQUEST, Bytes::new()),
         };
         origin.client.record_request(Instant::now().into_std());
-        let mut reply = match service.respond(&body).await {
+        let mut reply = match service.respond(body).await {
             Ok(body) => reply(StatusCode::OK, body),
-            Err(_) => reply(StatusCode::BAD_REQUEST, Vec::new()),
+            Err(_) => reply(StatusCode::BAD_REQUEST, Bytes::new()),
         };
         if let Some(id) = id {
             reply.headers_mut().insert(CALL_ID_HEADER, id);
@@ -167,8 +167,8 @@
     }
 }
 
-fn reply(status: StatusCode, body: Vec<u8>) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from(body)));
+fn reply(status: StatusCode, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
     *reply.status_mut() = status;
     reply
 }
--- a/crates/gateway/src/delegation.rs
+++ b/crates/gateway/src/delegation.rs
@@ -26,6 +26,8 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 use jaycrank_http::Client;
+use jaycrank_policy::memory::Exhausted;
+use jaycrank_policy::memory::Memory;
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
@@ -34,6 +36,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::answer::Refusal;
 use crate::answer::Reply;
 use crate::attempt::Outgoing;
 use crate::attempt::is_final;
@@ -95,13 +98,16 @@
 }
 
 impl Request {
-    /// Returns the request to forward, or `None` if a part is not valid.
-    pub(crate) fn outgoing(&self) -> Option<Outgoing> {
+    /// Takes the request to forward, whose body counts in `memory`, out of the message.
+    /// Returns `None` if a part is not valid or there is no memory.
+    pub(crate) fn outgoing(&mut self, memory: &Arc<Memory>) -> Option<Outgoing> {
+        let mut reservation = memory.reserve();
+        reservation.grow(self.body.len(), now()).ok()?;
         Some(Outgoing {
             method: self.method.parse().ok()?,
             uri: self.uri.parse().ok()?,
             headers: decode_headers(&self.headers)?,
-            body: self.body.clone(),
+            body: Bytes::from_owner(reservation.hold(std::mem::take(&mut self.body).into())),
             id: self.id.clone(),
             caller: self.caller,
         })
@@ -159,8 +165,9 @@
 }
 
 impl Helper {
-    fn new(address: SocketAddr) -> Self {
+    fn new(address: SocketAddr, answers: Arc<Memory>) -> Self {
         let client = call::client(address)
+            .with_memory(answers)
             .with_reply_bytes_max(ANSWER_BYTES_MAX)
             .with_connect_timeout(CONNECT_TIMEOUT);
         Self { client: Arc::new(client), status: None, at: None, outstanding: 0 }
@@ -185,6 +192,8 @@
 pub struct Delegator {
     peers: Arc<Peers>,
     traffic: Arc<Traffic>,
+    /// Memory for answers until they are sent.
+    answers: Arc<Memory>,
     helpers: Mutex<BTreeMap<SocketAddr, Helper>>,
 }
 
@@ -210,8 +219,13 @@
 
 impl Delegator {
     /// Creates a delegator that passes requests to `peers`.
-    pub(crate) fn new(peers: Arc<Peers>, traffic: Arc<Traffic>) -> Self {
-        Self { peers, traffic, helpers: Mutex::default() }
+    pub(crate) fn new(peers: Arc<Peers>, traffic: Arc<Traffic>, answers: Arc<Memory>) -> Self {
+        Self { peers, traffic, answers, helpers: Mutex::default() }
+    }
+
+    /// Returns a new helper, about which nothing is known.
+    fn helper(&self, address: SocketAddr) -> Helper {
+        Helper::new(address, self.answers.clone())
     }
 
     /// Returns whether another instance is known.
@@ -239,7 +253,7 @@
             let _outstanding = Outstanding::new(self, peer);
             // A pooled connection may be closed at this moment, so that it would be unknown whether
             // a request that may run only once was received.
-            let client = if idempotent { client } else { Helper::new(peer).client };
+            let client = if idempotent { client } else { self.helper(peer).client };
             let mut time = end.saturating_duration_since(Instant::now());
             if idempotent {
                 // The instance may be frozen; the caller then still has time for another one.
@@ -250,7 +264,7 @@
             match call::call(&client, DELEGATION_PATH, &message, time, self.counter(peer)).await {
                 Ok(Answer::Answered { status, headers, body, load }) => {
                     self.record(peer, Some(Status { helps: true, load }));
-                    return match reply(status, &headers, body) {
+                    return match reply(status, &headers, body, &self.answers) {
                         Some(reply) => Outcome::Answered(peer, reply),
                         None => Outcome::Lost,
                     };
@@ -308,7 +322,7 @@
             let two = candidates.sample(&mut rand::rng(), 2);
             let load = |peer: &SocketAddr| helpers.get(peer).map_or(0, Helper::load);
             if let Some(peer) = two.into_iter().min_by_key(load) {
-                let helper = helpers.entry(peer).or_insert_with(|| Helper::new(peer));
+                let helper = helpers.entry(peer).or_insert_with(|| self.helper(peer));
                 return Some((peer, helper.client.clone()));
             }
         }
@@ -320,17 +334,17 @@
     }
 
     fn client(&self, peer: SocketAddr) -> Arc<Client> {
-        self.lock().entry(peer).or_insert_with(|| Helper::new(peer)).client.clone()
+        self.lock().entry(peer).or_insert_with(|| self.helper(peer)).client.clone()
     }
 
     fn record(&self, peer: SocketAddr, status: Option<Status>) {
         let mut helpers = self.lock();
-        let helper = helpers.entry(peer).or_insert_with(|| Helper::new(peer));
+        let helper = helpers.entry(peer).or_insert_with(|| self.helper(peer));
         helper.status = status;
         helper.at = Some(Instant::now());
         // A client of an instance that failed may hold broken connections.
         if status.is_none() {
-            helper.client = Helper::new(peer).client;
+            helper.client = self.helper(peer).client;
         }
     }
 
@@ -377,7 +391,16 @@
     Some(headers)
 }
 
-fn reply(status: u16, headers: &[(SmolStr, Bytes)], body: Bytes) -> Option<Reply> {
+/// Returns the reply to a caller. Its body counts in `memory` until it is sent.
+fn reply(
+    status: u16,
+    headers: &[(SmolStr, Bytes)],
+    body: Bytes,
+    memory: &Arc<Memory>,
+) -> Option<Reply> {
+    let mut reservation = memory.reserve();
+    reservation.grow(body.len(), now()).ok()?;
+    let body = Bytes::from_owner(reservation.hold(body.into()));
     let mut reply = Response::new(Full::new(body));
     *reply.status_mut() = StatusCode::from_u16(status).ok().filter(|status| is_final(*status))?;
     *reply.headers_mut() = decode_headers(headers)?;
@@ -427,6 +450,13 @@
         Status { helps, load }
     }
 
+    /// Returns the answer to a request whose answer by a leaf is lost.
+    fn lost(&self) -> Answer {
+        let status = Refusal::Lost.status().as_u16();
+        let load = self.status().load;
+        Answer::Answered { status, headers: Vec::new(), body: Bytes::new(), load }
+    }
+
     async fn run(&self, request: Request) -> Answer {
         let status = self.status();
         let busy = Status { helps: false, ..status };
@@ -450,15 +480,30 @@
 
 #[async_trait]
 impl Service for Responder {
-    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
-        let answer = match call::decode(message)? {
+    async fn respond(&self, message: Bytes) -> Result<Bytes, call::Error> {
+        let decoded = call::decode(&message)?;
+        // The decoded request holds a copy of what it needs.
+        drop(message);
+        let mut answer = match decoded {
             Message::Status => Answer::Status(self.status()),
             Message::Run(request) => self.run(*request).await,
         };
-        call::encode(&answer)
+        let mut memory = self.gateway.answer_memory().reserve();
+        if let Answer::Answered { body, .. } = &answer
+            && memory.grow(body.len(), now()) == Err(Exhausted)
+        {
+            // The request has run, so it must not look as if it had been declined.
+            answer = self.lost();
+        }
+        let encoded = call::encode(&answer)?;
+        Ok(Bytes::from_owner(memory.hold(encoded)))
     }
 }
 
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
+}
+
 /// Returns the milliseconds until `end`, less what the answer takes on its way back.
 pub(crate) fn millis_until(end: Instant) -> u64 {
     let left = end.saturating_duration_since(Instant::now()).saturating_sub(RETURN_MARGIN);
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -144,8 +144,10 @@
         let peers = options
             .peer_listen
             .map(|listen| Arc::new(Peers::new(listen, options.topology(), &options.seeds)));
-        let delegator =
-            peers.clone().map(|peers| Arc::new(Delegator::new(peers, gateway.traffic().clone())));
+        let delegator = peers.clone().map(|peers| {
+            let (traffic, answers) = (gateway.traffic(), gateway.answer_memory());
+            Arc::new(Delegator::new(peers, traffic.clone(), answers.clone()))
+        });
         let path = options.ready_path.clone();
         let readiness =
             Readiness::new(gateway.clone(), phases.clone(), path).with_delegator(delegator.clone());
--- a/crates/gateway/src/peer.rs
+++ b/crates/gateway/src/peer.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use bytes::Bytes;
 use jaycrank_event::Event;
 use jaycrank_event::event;
 use jaycrank_http::Client;
@@ -382,8 +383,8 @@
 
 #[async_trait]
 impl Service for Responder {
-    async fn respond(&self, message: &[u8]) -> Result<Vec<u8>, call::Error> {
-        call::encode(&self.answer(&call::decode(message)?).await)
+    async fn respond(&self, message: Bytes) -> Result<Bytes, call::Error> {
+        Ok(call::encode(&self.answer(&call::decode(&message)?).await)?.into())
     }
 }
 
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -196,14 +196,14 @@
 /// instance has an older configuration, or no such route.
 pub(crate) async fn answer_delegated(
     gateway: &Gateway,
-    request: delegation::Request,
+    mut request: delegation::Request,
 ) -> Option<Reply> {
     let arrival = Instant::now();
     let active = gateway.directory().active()?;
     if active.version() < request.version {
         return None;
     }
-    let outgoing = request.outgoing()?;
+    let outgoing = request.outgoing(gateway.request_memory())?;
     let route = active.routes().find(&request.host, outgoing.uri.path())?;
     let query = Query {
         gateway,
@@ -366,6 +366,9 @@
     /// Passes the request to another instance; returns `None` if none runs it.
     async fn delegate(&self, delegator: &Delegator) -> Option<Handled> {
         let in_doubt = !self.sent.is_empty();
+        // The message holds a copy of the body.
+        let mut memory = self.gateway.request_memory().reserve();
+        memory.grow(self.outgoing.body.len(), Instant::now().into_std()).ok()?;
         let request = delegation::Request {
             method: self.outgoing.method.as_str().into(),
             uri: self.outgoing.uri.to_string(),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -23,6 +23,7 @@
 use jaycrank_policy::route::Route;
 use jaycrank_policy::route::Target;
 use jaycrank_standin::Catalog;
+use jaycrank_standin::Link;
 use jaycrank_standin::Server;
 pub use jaycrank_standin::raw::Response;
 pub use jaycrank_standin::raw::exchange;
@@ -151,6 +152,28 @@
     (instance, catalog)
 }
 
+/// Starts two instances that know each other and reach `leaf` over links of their own.
+pub async fn start_pair(config: Config, leaf: &Server, service: &str) -> Vec<(Instance, Link)> {
+    let peers = [free_address(), free_address()];
+    let mut pair = Vec::new();
+    for (index, peer) in peers.into_iter().enumerate() {
+        let link = Link::start(leaf.address()).await.unwrap();
+        let catalog = Arc::new(Catalog::new());
+        catalog.put_config(config.clone());
+        catalog.put_leaf(Entry { address: link.address(), ..entry(leaf, service) });
+        let mut options = options(Some(peer), peers.to_vec());
+        // Instances of one failure domain would share the addresses of leafs.
+        options.failure_domain = format!("domain-{index}").into();
+        options.regions =
+            (0..2).map(|domain| (format!("domain-{domain}").into(), "r".into())).collect();
+        let instance = Instance::start(options, catalog).await.unwrap();
+        let gateway = instance.gateway().clone();
+        eventually("routes and leafs", || gateway.directory().is_complete()).await;
+        pair.push((instance, link));
+    }
+    pair
+}
+
 /// Sends a request on a new connection and returns the response.
 pub async fn call(address: SocketAddr, request: &str) -> Response {
     let mut stream = TcpStream::connect(address).await.unwrap();
--- a/crates/gateway/tests/status.rs
+++ b/crates/gateway/tests/status.rs
@@ -6,14 +6,9 @@
 
 use common::call;
 use common::config;
-use common::eventually;
-use common::free_address;
 use common::get;
-use common::options;
 use common::start;
-use jaycrank_gateway::lifecycle::Instance;
-use jaycrank_standin::Catalog;
-use jaycrank_standin::Link;
+use common::start_pair;
 use jaycrank_standin::Server;
 use jaycrank_standin::link;
 use jaycrank_standin::server::Reaction;
@@ -83,35 +78,15 @@
 #[tokio::test]
 async fn answers_without_a_final_status_do_not_pass_through_a_helper() {
     let leaf = Server::start("one").await.unwrap();
-    let peers = [free_address(), free_address()];
-    let mut instances = Vec::new();
-    let mut links = Vec::new();
-    for (index, peer) in peers.into_iter().enumerate() {
-        let link = Link::start(leaf.address()).await.unwrap();
-        let catalog = std::sync::Arc::new(Catalog::new());
-        catalog.put_config(config(1, "db", &["db"]));
-        let mut entry = common::entry(&leaf, "db");
-        entry.address = link.address();
-        catalog.put_leaf(entry);
-        let mut options = options(Some(peer), peers.to_vec());
-        // Instances of one failure domain would share the addresses of leafs.
-        options.failure_domain = format!("domain-{index}").into();
-        options.regions =
-            (0..2).map(|domain| (format!("domain-{domain}").into(), "r".into())).collect();
-        let instance = Instance::start(options, catalog).await.unwrap();
-        let gateway = instance.gateway().clone();
-        eventually("routes and leafs", || gateway.directory().is_complete()).await;
-        instances.push(instance);
-        links.push(link);
-    }
-    links[0].set_state(link::State::Hang);
+    let pair = start_pair(config(1, "db", &["db"]), &leaf, "db").await;
+    pair[0].1.set_state(link::State::Hang);
     let mut runs_before = 0;
     for line in ["HTTP/1.1 200 Status"].into_iter().chain(FIRST_LINES) {
         let is_final = line == "HTTP/1.1 200 Status";
         leaf.set_reaction(Reaction::FirstLine(line));
         let mut statuses = Vec::new();
         for _ in 0..20 {
-            let response = call(instances[0].address(), &get("/read/", "r")).await;
+            let response = call(pair[0].0.address(), &get("/read/", "r")).await;
             let expected: &[u16] = if is_final { &[200, 502, 503, 504] } else { &[502, 503, 504] };
             assert!(expected.contains(&response.status), "{line}: {}", response.status);
             statuses.push(response.status);
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -1,5 +1,7 @@
 //! Receives bodies into bounded memory.
 
+use std::error;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -21,6 +23,18 @@
     Incomplete(E),
 }
 
+impl<E: fmt::Display> fmt::Display for Error<E> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::TooLarge => f.write_str("body too large"),
+            Self::Exhausted => f.write_str("no memory for the body"),
+            Self::Incomplete(cause) => write!(f, "body incomplete: {cause}"),
+        }
+    }
+}
+
+impl<E: fmt::Debug + fmt::Display> error::Error for Error<E> {}
+
 impl<E> From<Exhausted> for Error<E> {
     fn from(_: Exhausted) -> Self {
         Self::Exhausted
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,24 +2,25 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use jaycrank_policy::memory::Memory;
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::socket::set_tcp_options;
 
 /// Maximum number of idle connections in the pool.
@@ -55,6 +56,7 @@
 pub struct Client {
     address: SocketAddr,
     reply_bytes_max: usize,
+    memory: Arc<Memory>,
     connect_timeout: Option<Duration>,
     idle: Mutex<Vec<Sender>>,
 }
@@ -65,6 +67,7 @@
         Self {
             address,
             reply_bytes_max: REPLY_BYTES_MAX,
+            memory: Arc::new(Memory::new(usize::MAX)),
             connect_timeout: None,
             idle: Mutex::default(),
         }
@@ -76,6 +79,12 @@
         self
     }
 
+    /// Sets the memory in which reply bodies count until they are dropped.
+    pub fn with_memory(mut self, memory: Arc<Memory>) -> Self {
+        self.memory = memory;
+        self
+    }
+
     /// Sets the time within which a connection must be opened. Without it, only the time limit of the
     /// call applies.
     pub fn with_connect_timeout(mut self, time: Duration) -> Self {
@@ -155,8 +164,8 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, Error> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.reply_bytes_max).collect().await.map_err(reply_lost)?;
-        Ok(Response::from_parts(head, body.to_bytes()))
+        let body = body::read(body, self.reply_bytes_max, &self.memory).await;
+        Ok(Response::from_parts(head, body.map_err(reply_lost)?))
     }
 
     fn take_idle_connection(&self) -> Option<Sender> {
