Bound the memory for bodies in the query tier's own listeners

jaycrankd had the fault of the gateway: its listeners bound one body, and 8,192 connections could hold one each. 600 bodies of 1 MiB that stop short of their end took 420 to 553 MB of 256 MB, and end the process.

Bodies of callers, operators and other instances are received by the function that the gateway uses. A request without memory is refused with 503, no-memory and a time to retry; it was not decoded.

The tests of caller, operator, instance, http, jaycrank and standin pass.

--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -56,7 +56,7 @@
     handler: Arc<dyn Handler>,
     bounds: Bounds,
 ) -> io::Result<Server> {
-    let query = QueryRoute { handler: handler.clone(), bounds };
+    let query = QueryRoute { handler: handler.clone(), bounds: bounds.clone() };
     let router = Router::new()
         .push(Router::with_path("query").post(query))
         .push(Router::with_path("fairness").get(FairnessRoute { handler }))
--- a/crates/caller/src/wire.rs
+++ b/crates/caller/src/wire.rs
@@ -20,6 +20,9 @@
 use strum::Display;
 use strum::EnumString;
 
+/// Time after which a request that found no memory may be sent again, in milliseconds.
+const NO_MEMORY_RETRY_MS: u64 = 250;
+
 /// Longest request id or key.
 const ID_MAX_BYTES: usize = 128;
 
@@ -256,7 +259,11 @@
 impl From<request::Error> for Refusal {
     fn from(error: request::Error) -> Self {
         let category = if error.is_invalid() { Category::Invalid } else { Category::NotRun };
-        Self::new(category, error.status(), error.reason(), error.to_string())
+        let refusal = Self::new(category, error.status(), error.reason(), error.to_string());
+        match error {
+            request::Error::NoMemory => refusal.with_retry_after_ms(NO_MEMORY_RETRY_MS),
+            _ => refusal,
+        }
     }
 }
 
--- a/crates/http/src/request.rs
+++ b/crates/http/src/request.rs
@@ -7,9 +7,9 @@
 
 use bytes::Bytes;
 use salvo::Request;
-use salvo::http::ParseError;
 use salvo::http::header;
 
+use crate::body;
 use crate::server::Bounds;
 
 /// Reason why a request is rejected before it is run.
@@ -23,6 +23,8 @@
     TooLarge(usize),
     /// The body did not arrive within this time.
     TooSlow(Duration),
+    /// There is no memory for the body, or others needed it.
+    NoMemory,
     /// The connection ended before the body was complete.
     Truncated,
 }
@@ -35,6 +37,7 @@
             Self::NoToken => 401,
             Self::TooSlow(_) => 408,
             Self::TooLarge(_) => 413,
+            Self::NoMemory => 503,
         }
     }
 
@@ -45,13 +48,14 @@
             Self::NoToken => "no-token",
             Self::TooLarge(_) => "too-large",
             Self::TooSlow(_) => "too-slow",
+            Self::NoMemory => "no-memory",
             Self::Truncated => "truncated",
         }
     }
 
     /// Returns whether the request is invalid; otherwise it may be retried unchanged.
     pub fn is_invalid(&self) -> bool {
-        !matches!(self, Self::TooSlow(_))
+        !matches!(self, Self::TooSlow(_) | Self::NoMemory)
     }
 }
 
@@ -66,6 +70,7 @@
             Self::TooSlow(time) => {
                 write!(f, "the body did not arrive within {} ms", time.as_millis())
             }
+            Self::NoMemory => f.write_str("there is no memory for the body"),
             Self::Truncated => f.write_str("the connection ended before the body was complete"),
         }
     }
@@ -92,29 +97,29 @@
 ///
 /// # Errors
 ///
-/// [`Error::TooLarge`], [`Error::TooSlow`] or [`Error::Truncated`].
+/// [`Error::TooLarge`], [`Error::NoMemory`], [`Error::TooSlow`] or [`Error::Truncated`].
 pub async fn read_body(request: &mut Request, bounds: &Bounds) -> Result<Bytes, Error> {
     let declared = request.headers().get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
     if declared.is_some_and(|bytes| bytes > bounds.body_bytes) {
         return Err(Error::TooLarge(bounds.body_bytes));
     }
-    let payload = request.payload_with_max_size(bounds.body_bytes);
-    match tokio::time::timeout(bounds.receive_timeout, payload).await {
-        Ok(Ok(body)) => Ok(body.clone()),
-        Ok(Err(ParseError::PayloadTooLarge)) => Err(Error::TooLarge(bounds.body_bytes)),
+    let body = body::receive(request.take_body(), bounds.body_bytes, &bounds.memory);
+    match tokio::time::timeout(bounds.receive_timeout, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(body::Error::TooLarge)) => Err(Error::TooLarge(bounds.body_bytes)),
+        Ok(Err(body::Error::Exhausted)) => Err(Error::NoMemory),
         // The server enforces the same timeout and may report it first.
-        Ok(Err(error)) if is_timeout(&error) => Err(Error::TooSlow(bounds.receive_timeout)),
-        Ok(Err(_)) => Err(Error::Truncated),
+        Ok(Err(body::Error::Incomplete(error))) if is_timeout(&error) => {
+            Err(Error::TooSlow(bounds.receive_timeout))
+        }
+        Ok(Err(body::Error::Incomplete(_))) => Err(Error::Truncated),
         Err(_) => Err(Error::TooSlow(bounds.receive_timeout)),
     }
 }
 
-fn is_timeout(error: &ParseError) -> bool {
-    let mut source: Option<&(dyn error::Error + 'static)> = match error {
-        ParseError::Other(error) => Some(error.as_ref()),
-        other => Some(other),
-    };
+fn is_timeout(error: &(dyn error::Error + 'static)) -> bool {
+    let mut source = Some(error);
     while let Some(error) = source {
         let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
         if kind == Some(io::ErrorKind::TimedOut) {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,8 +2,11 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use jaycrank_policy::capacity::Capacity;
+use jaycrank_policy::memory::Memory;
 use salvo::Listener;
 use salvo::Router;
 use salvo::Server as SalvoServer;
@@ -14,7 +17,7 @@
 use tokio::task::JoinHandle;
 
 /// Resource limits of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Bounds {
     /// Maximum number of open connections; further ones wait in the listen backlog.
     pub connections: usize,
@@ -25,6 +28,8 @@
     /// Timeout for receiving the headers and for receiving the body of a request, and for a
     /// response whose client does not read.
     pub receive_timeout: Duration,
+    /// Memory for the bodies of all requests.
+    pub memory: Arc<Memory>,
 }
 
 impl Default for Bounds {
@@ -34,6 +39,7 @@
             header_bytes: 16 << 10,
             body_bytes: 1 << 20,
             receive_timeout: Duration::from_secs(10),
+            memory: Arc::new(Memory::new(Capacity::default().request_bytes())),
         }
     }
 }
--- a/crates/instance/src/server.rs
+++ b/crates/instance/src/server.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 pub use jaycrank_http::Bounds;
 use jaycrank_http::Server;
+use jaycrank_http::request;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Request;
@@ -42,7 +43,8 @@
     bounds: Bounds,
 ) -> io::Result<Server> {
     let bounds = Bounds { body_bytes: BODY_BYTES_MAX, ..bounds };
-    let dispatcher = Arc::new(Dispatcher { exchange, key, nonces: Nonces::default(), bounds });
+    let dispatcher =
+        Arc::new(Dispatcher { exchange, key, nonces: Nonces::default(), bounds: bounds.clone() });
     let mut router = Router::new();
     for path in
         [client::HEARTBEAT_PATH, client::PULL_PATH, client::CLAIM_PATH, client::FORWARD_PATH]
@@ -112,12 +114,8 @@
         let found = header(request, auth::CODE_HEADER)
             .and_then(auth::from_hex)
             .ok_or_else(|| auth::Error::Header(auth::CODE_HEADER).to_string())?;
-        let payload = request.payload_with_max_size(self.bounds.body_bytes);
-        let body = match tokio::time::timeout(self.bounds.receive_timeout, payload).await {
-            Ok(Ok(body)) => body.clone(),
-            Ok(Err(error)) => return Err(format!("failed to read the body: {error}")),
-            Err(_) => return Err("the body did not arrive in time".into()),
-        };
+        let body = request::read_body(request, &self.bounds).await;
+        let body = body.map_err(|error| format!("failed to read the body: {error}"))?;
         let expected = self.key.sign_request(path, time_ms, nonce, &body);
         auth::verify(&expected, &found).map_err(|error| error.to_string())?;
         // The nonce is checked last, so that senders without the key can't fill the set.
--- a/crates/jaycrank/src/daemon.rs
+++ b/crates/jaycrank/src/daemon.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use jaycrank_platform::http::Client;
+use jaycrank_policy::capacity::Capacity;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -22,8 +23,11 @@
 /// Minimum length of the shared key.
 const KEY_BYTES_MIN: usize = 16;
 
+/// Bytes in the unit of the memory.
+const MEGABYTE: usize = 1_000_000;
+
 /// Flags of `jaycrankd`.
-pub const FLAGS: [Flag; 14] = [
+pub const FLAGS: [Flag; 15] = [
     flag("name", "NAME", None, "name of the instance, unique in the fleet and never reused"),
     flag("address", "IP", Some("127.0.0.1"), "address of all listeners"),
     flag("caller-port", "PORT", Some("8080"), "port for callers, 0 for any"),
@@ -35,6 +39,7 @@
     flag("seeds", "IP:PORT,...", Some(""), "instances to ask when the platform is down"),
     flag("shared-key", "KEY", None, "key of all instances, at least 16 bytes; prefer the variable"),
     flag("grace-ms", "MS", Some("30000"), "longest graceful shutdown, 0 to 600000 ms"),
+    flag("memory-mb", "MB", Some("256"), "memory that the process may use, 64 to 1048576 MB"),
     flag("log", "LEVEL", Some("info"), "log level: error, warn, info, debug"),
     flag("log-format", "FORMAT", Some("json"), "format of the log lines: json, text"),
     flag("instances-max", "N", Some("9"), "instances that share the leafs' connections, 1 to 64"),
@@ -130,6 +135,8 @@
     let key_format = "at least 16 bytes";
     let key: String =
         flags.value("shared-key", key_format, |key: &String| key.len() >= KEY_BYTES_MIN)?;
+    let memory_mb: usize =
+        flags.value("memory-mb", "64 to 1048576", |mb| (64..=1_048_576).contains(mb))?;
     let grace_ms = flags.value("grace-ms", "0 to 600000", |ms| *ms <= 600_000)?;
     Ok(Options {
         name: name("name")?.into(),
@@ -142,6 +149,7 @@
         shared_key: key.into_bytes(),
         instances_max: flags.value("instances-max", "1 to 64", |n| (1..=64).contains(n))?,
         grace: Duration::from_millis(grace_ms),
+        capacity: Capacity::default().with_memory(memory_mb * MEGABYTE),
     })
 }
 
--- a/crates/jaycrank/src/node.rs
+++ b/crates/jaycrank/src/node.rs
@@ -20,6 +20,8 @@
 use jaycrank_platform::Store;
 use jaycrank_platform::count::Calls;
 use jaycrank_platform::count::Counted;
+use jaycrank_policy::capacity::Capacity;
+use jaycrank_policy::memory::Memory;
 use jaycrank_policy::quarantine::Quarantine;
 use smol_str::SmolStr;
 use tokio::task::JoinSet;
@@ -85,6 +87,8 @@
     pub instances_max: usize,
     /// Longest graceful shutdown.
     pub grace: Duration,
+    /// Memory that the process may use.
+    pub capacity: Capacity,
 }
 
 impl Options {
@@ -102,6 +106,7 @@
             shared_key: shared_key.to_vec(),
             instances_max: 9,
             grace: Duration::from_secs(30),
+            capacity: Capacity::default(),
         }
     }
 
@@ -202,18 +207,26 @@
         let operator_api = Arc::new(OperatorApi::new(parts.clone(), ledger.clone()));
         let queries = Arc::new(Queries::new(parts.clone()));
 
-        let bounds = Bounds::default();
+        // Each listener has memory of its own, so that callers can't take that of the instances.
+        let bounds = |bytes| Bounds { memory: Arc::new(Memory::new(bytes)), ..Bounds::default() };
+        let (request_bytes, message_bytes) =
+            (options.capacity.request_bytes(), options.capacity.message_bytes());
         let instance = jaycrank_instance::server::bind(
             options.instance_address,
             exchange.clone(),
             key.clone(),
-            bounds,
+            bounds(message_bytes),
         )
         .await?;
-        let operator =
-            jaycrank_operator::server::bind(options.operator_address, operator_api.clone(), bounds)
+        let operator = jaycrank_operator::server::bind(
+            options.operator_address,
+            operator_api.clone(),
+            bounds(message_bytes),
+        )
+        .await?;
+        let caller =
+            jaycrank_caller::server::bind(options.caller_address, queries, bounds(request_bytes))
                 .await?;
-        let caller = jaycrank_caller::server::bind(options.caller_address, queries, bounds).await?;
         exchange.membership().set_addresses(instance.address(), caller.address());
         event!(
             Event::Listening,
--- a/crates/operator/src/server.rs
+++ b/crates/operator/src/server.rs
@@ -91,7 +91,7 @@
     handler: Arc<dyn Handler>,
     bounds: Bounds,
 ) -> io::Result<Server> {
-    let api = Arc::new(Api { handler, bounds });
+    let api = Arc::new(Api { handler, bounds: bounds.clone() });
     // A single handler serves every path, so that unknown paths get a refusal with a body too.
     let router = Router::new()
         .push(Router::with_path("{**path}").goal(Endpoint(api.clone())))
