Show the use of the bounded memory

Operators could not see how near an instance is to its bounds, nor that it refuses requests for lack of memory but by the outcomes of requests.

gateway/memory: use_of_memory_is_shown passes; report passes.

--- a/crates/gateway/src/admin.rs
+++ b/crates/gateway/src/admin.rs
@@ -128,6 +128,7 @@
             quarantine: self.quarantine(),
             limits: self.gateway.rate_limits().statuses(),
             traffic: self.gateway.traffic().counts(),
+            memory: self.gateway.memory_usage(),
         }
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use jaycrank_policy::deadline::Shutdown;
 use jaycrank_policy::extra_requests::Quota;
 use jaycrank_policy::memory::Memory;
+use jaycrank_policy::memory::Usage;
 use jaycrank_policy::overload::Shedder;
 use jaycrank_policy::placement::ServiceTime;
 use jaycrank_policy::quarantine::Quarantine;
@@ -260,6 +261,13 @@
         let traffic = Arc::<Traffic>::default();
         let (topology, fleet) = (options.topology(), options.assumed_fleet_size());
         let sockets = Sockets::new(options.capacity.leaf_connections());
+        let request_memory = Arc::new(Memory::new(options.capacity.request_bytes()));
+        let answer_memory = Arc::new(Memory::new(options.capacity.answer_bytes()));
+        let message_memory = Arc::new(Memory::new(options.capacity.message_bytes()));
+        let metrics = Metrics::new(traffic.clone())?;
+        for (name, memory) in memories(&request_memory, &answer_memory, &message_memory) {
+            metrics.observe_memory(name, memory.clone());
+        }
         Ok(Self {
             capacity: options.capacity,
             directory: Directory::new(topology, fleet, traffic.clone())
@@ -280,10 +288,10 @@
                 .with_isolated_max(ISOLATED_RUNS_MAX)
                 .with_forwarding(),
             successes: RecentSuccesses::new(),
-            request_memory: Arc::new(Memory::new(options.capacity.request_bytes())),
-            answer_memory: Arc::new(Memory::new(options.capacity.answer_bytes())),
-            message_memory: Arc::new(Memory::new(options.capacity.message_bytes())),
-            metrics: Metrics::new(traffic.clone())?,
+            request_memory,
+            answer_memory,
+            message_memory,
+            metrics,
             traffic,
         })
     }
@@ -394,6 +402,12 @@
         &self.message_memory
     }
 
+    /// Returns the use of each memory by its name.
+    pub fn memory_usage(&self) -> BTreeMap<SmolStr, Usage> {
+        let named = memories(&self.request_memory, &self.answer_memory, &self.message_memory);
+        named.into_iter().map(|(name, memory)| (name.into(), memory.usage())).collect()
+    }
+
     /// Returns the counts of messages and bytes.
     pub fn traffic(&self) -> &Arc<Traffic> {
         &self.traffic
@@ -426,3 +440,12 @@
         self.processing_time.lock().unwrap_or_else(PoisonError::into_inner).record(time);
     }
 }
+
+/// Returns the memories for requests, answers and messages with their names.
+fn memories<'a>(
+    requests: &'a Arc<Memory>,
+    answers: &'a Arc<Memory>,
+    messages: &'a Arc<Memory>,
+) -> [(&'static str, &'a Arc<Memory>); 3] {
+    [("requests", requests), ("answers", answers), ("messages", messages)]
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,6 +10,7 @@
 use jaycrank_metric::Error;
 use jaycrank_metric::Registry;
 use jaycrank_policy::clients::Counts;
+use jaycrank_policy::memory::Memory;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::AsyncInstrument;
 use opentelemetry::metrics::Counter;
@@ -153,6 +154,27 @@
         }
     }
 
+    /// Observes the use of a memory.
+    pub fn observe_memory(&self, name: &'static str, memory: Arc<Memory>) {
+        let meter = self.registry.meter();
+        let label = [KeyValue::new("memory", name)];
+        let (used, labels) = (memory.clone(), label.clone());
+        meter
+            .u64_observable_gauge("jaycrank_memory")
+            .with_unit("By")
+            .with_description("Memory in use for clients and other instances")
+            .with_callback(move |observer| observer.observe(used.bytes() as u64, &labels))
+            .build();
+        meter
+            .u64_observable_counter("jaycrank_memory_refused")
+            .with_description("Times that memory was refused, or taken from an unfinished body")
+            .with_callback(move |observer| {
+                let usage = memory.usage();
+                observer.observe(usage.refused + usage.revoked, &label);
+            })
+            .build();
+    }
+
     /// Encodes all values in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/gateway/src/report.rs
+++ b/crates/gateway/src/report.rs
@@ -10,6 +10,7 @@
 use hyper::Request;
 use hyper::StatusCode;
 use jaycrank_http::Client;
+use jaycrank_policy::memory::Usage;
 use jaycrank_policy::quarantine::Observation;
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,6 +60,9 @@
     /// Messages and bytes since the start, by kind and distance.
     #[serde(default)]
     pub traffic: Counts,
+    /// Memory for `requests`, `answers` and `messages` of other instances.
+    #[serde(default)]
+    pub memory: BTreeMap<SmolStr, Usage>,
 }
 
 /// Limit that a leaf states, and the tokens of the instance for it.
--- a/crates/gateway/tests/memory.rs
+++ b/crates/gateway/tests/memory.rs
@@ -90,3 +90,28 @@
     drop(stream);
     eventually("nothing counts", || bytes(0) == 0).await;
 }
+
+/// Guards against memory that is refused without a trace in the metrics and the dump.
+#[tokio::test]
+async fn use_of_memory_is_shown() {
+    let leaf = Server::start("one").await.unwrap();
+    let (instance, _) = common::start(config(1, "db", &[]), &[(&leaf, "db")]).await;
+    let memory = instance.gateway().request_memory();
+    let mut reservation = memory.reserve();
+    let now = std::time::Instant::now();
+    assert!(reservation.grow(1_000, now).is_ok());
+    assert!(reservation.grow(usize::MAX / 2, now).is_err());
+    let usage = instance.gateway().memory_usage();
+    assert_eq!((usage["requests"].bytes, usage["requests"].refused), (1_000, 1));
+    assert_eq!((usage["answers"].bytes, usage["messages"].bytes), (0, 0));
+    let text = instance.gateway().metrics().scrape().unwrap();
+    let values: Vec<&str> =
+        text.lines().filter(|line| line.starts_with("jaycrank_memory")).collect();
+    let value = |start: &str, name: &str| {
+        let is_wanted = |line: &&&str| line.starts_with(start) && line.contains(name);
+        values.iter().find(is_wanted).and_then(|line| line.rsplit(' ').next()).map(str::to_owned)
+    };
+    assert_eq!(value("jaycrank_memory_bytes", "requests").as_deref(), Some("1000"), "{values:?}");
+    assert_eq!(value("jaycrank_memory_refused", "requests").as_deref(), Some("1"), "{values:?}");
+    assert_eq!(value("jaycrank_memory_bytes", "answers").as_deref(), Some("0"), "{values:?}");
+}
--- a/crates/gateway/tests/report.rs
+++ b/crates/gateway/tests/report.rs
@@ -57,6 +57,7 @@
         leafs: seen.collect(),
         quarantine: BTreeMap::new(),
         limits: BTreeMap::new(),
+        memory: BTreeMap::new(),
         traffic: BTreeMap::new(),
     }
 }
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -14,6 +14,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 /// Memory that must stay free when a holder grows, as a multiple of the holder's own.
@@ -60,9 +62,11 @@
     revoked: Arc<Notify>,
 }
 
-/// Uses of a [`Memory`] since it was created.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// Use of a [`Memory`] now and since it was created.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Usage {
+    /// Bytes that may be in use.
+    pub bytes_max: usize,
     /// Bytes in use.
     pub bytes: usize,
     /// Bodies that have lost their memory to others.
@@ -85,7 +89,8 @@
     /// Returns the bytes in use and how often memory was refused or revoked.
     pub fn usage(&self) -> Usage {
         let state = self.lock();
-        Usage { bytes: state.bytes, revoked: state.revoked, refused: state.refused }
+        let State { bytes, revoked, refused, .. } = *state;
+        Usage { bytes_max: self.bytes_max, bytes, revoked, refused }
     }
 
     /// Starts to receive a body of at most `bytes_max`.
