Close the connection of the slowest reader when answers need memory

Callers got 502 for each request with a large answer while others read theirs slowly: the bound on the memory for answers held, but those that held it did not let go as long as they read a little.

When an answer finds no memory, the connection on which one has been sent for longest is closed, if that is more than 3 s. Small answers have room of their own and don't cause this.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -308,6 +308,7 @@
             listener = listener,
             closed = counts.closed,
             blocked = counts.blocked,
+            slow = counts.slow,
             refused = counts.refused
         );
         self.metrics.record_closed(listener, counts);
--- a/crates/gateway/src/lifecycle.rs
+++ b/crates/gateway/src/lifecycle.rs
@@ -75,7 +75,7 @@
 
 /// Idle time after which a connection to a leaf is closed if another one is wanted.
 const SPARE_IDLE_TIME: Duration = Duration::from_millis(100);
-/// Shortest interval at which such connections are closed.
+/// Shortest interval at which such connections, or those of slow clients, are closed.
 const SPARE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Interval at which the counts of messages and bytes are logged.
@@ -162,6 +162,7 @@
         }
         let mut tasks =
             vec![tokio::spawn(measure_load(gateway.clone())), tokio::spawn(sweep(gateway.clone()))];
+        tasks.push(tokio::spawn(close_slow(gateway.clone(), connections.clone())));
         tasks.push(tokio::spawn(log_traffic(options.name.clone(), gateway.clone())));
         let mut catalog = catalog;
         let mut delegated_running = Arc::default();
@@ -276,6 +277,15 @@
     }
 }
 
+/// Closes connections whose clients read slowly while other answers find no memory.
+async fn close_slow(gateway: Arc<Gateway>, clients: Arc<Clients>) {
+    loop {
+        gateway.answer_memory().wanted().await;
+        clients.close_slowest(Instant::now().into_std());
+        sleep(SPARE_INTERVAL).await;
+    }
+}
+
 async fn sweep(gateway: Arc<Gateway>) {
     let directory = gateway.directory();
     let mut due = interval(SWEEP_INTERVAL);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -145,10 +145,11 @@
     }
 
     /// Counts connections that were closed or refused: `others` if a new one needed the room, `unread`
-    /// if the client did not read, `full` for new ones that found no room.
+    /// if the client did not read, `slow` if the memory of its answer was needed, `full` for new ones that found no room.
     pub fn record_closed(&self, listener: &'static str, counts: Counts) {
-        let Counts { closed, blocked, refused } = counts;
-        for (cause, count) in [("others", closed), ("unread", blocked), ("full", refused)] {
+        let Counts { closed, blocked, slow, refused } = counts;
+        let causes = [("others", closed), ("unread", blocked), ("slow", slow), ("full", refused)];
+        for (cause, count) in causes {
             let labels = [KeyValue::new("listener", listener), KeyValue::new("cause", cause)];
             self.closed.add(count, &labels);
         }
--- a/crates/policy/src/clients.rs
+++ b/crates/policy/src/clients.rs
@@ -20,6 +20,9 @@
 /// Time for which a connection that holds still is not closed for others.
 const PROTECTED_TIME: Duration = Duration::from_millis(500);
 
+/// Time that a client has for reading an answer although others need its memory.
+const SENDING_TIME: Duration = Duration::from_secs(3);
+
 /// Number of a connection.
 type Id = u64;
 
@@ -58,6 +61,8 @@
 struct Entry {
     activity: Activity,
     since: Instant,
+    /// Time since which an answer is being sent.
+    sending_since: Option<Instant>,
     /// Whether an answer was sent.
     answered: bool,
     /// Set when the connection is to be closed.
@@ -71,6 +76,8 @@
     pub closed: u64,
     /// Closed because the client did not read.
     pub blocked: u64,
+    /// Closed because the memory of an answer was needed and its client read slowly.
+    pub slow: u64,
     /// Refused.
     pub refused: u64,
 }
@@ -122,7 +129,13 @@
         let (closing, is_closing) = watch::channel(false);
         let id = state.next;
         state.next += 1;
-        let entry = Entry { activity: Activity::Waiting, since: now, answered: false, closing };
+        let entry = Entry {
+            activity: Activity::Waiting,
+            since: now,
+            sending_since: None,
+            answered: false,
+            closing,
+        };
         state.entries.insert(id, entry);
         drop(state);
         Some(Client { clients: self.clone(), id, is_closing })
@@ -142,6 +155,21 @@
         }
     }
 
+    /// Closes the connection on which an answer has been sent for longest, if that is longer than
+    /// [`SENDING_TIME`].
+    pub fn close_slowest(&self, now: Instant) {
+        let mut state = self.lock();
+        let State { entries, closing, counts, .. } = &mut *state;
+        let sending = entries.values().filter(|entry| !*entry.closing.borrow());
+        let sending = sending.filter_map(|entry| Some((entry.sending_since?, entry)));
+        let Some((since, slowest)) = sending.min_by_key(|(since, _)| *since) else { return };
+        if now.saturating_duration_since(since) >= SENDING_TIME {
+            slowest.closing.send_replace(true);
+            *closing += 1;
+            counts.slow += 1;
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -179,7 +207,10 @@
 
     /// Records that there is an answer to send.
     pub fn record_answer(&self, now: Instant) {
-        self.set(Activity::Sending, now);
+        self.update(|entry| {
+            entry.set(Activity::Sending, now);
+            entry.sending_since = Some(now);
+        });
     }
 
     /// Records that all that there was to send is sent.
@@ -187,6 +218,7 @@
         self.update(|entry| {
             if matches!(entry.activity, Activity::Sending | Activity::Blocked) {
                 entry.answered = true;
+                entry.sending_since = None;
                 entry.set(Activity::Waiting, now);
             }
         });
--- a/crates/policy/src/memory.rs
+++ b/crates/policy/src/memory.rs
@@ -39,6 +39,8 @@
 pub struct Memory {
     bytes_max: usize,
     state: Mutex<State>,
+    /// Notified when memory is refused.
+    wanted: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -78,7 +80,7 @@
 impl Memory {
     /// Creates a memory of this many bytes.
     pub fn new(bytes_max: usize) -> Self {
-        Self { bytes_max, state: Mutex::default() }
+        Self { bytes_max, state: Mutex::default(), wanted: Notify::new() }
     }
 
     /// Returns the number of bytes in use.
@@ -93,6 +95,11 @@
         Usage { bytes_max: self.bytes_max, bytes, revoked, refused }
     }
 
+    /// Waits until memory is refused, since the last call.
+    pub async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
     /// Starts to receive a body of at most `bytes_max`.
     pub fn upload(self: &Arc<Self>, bytes_max: usize, now: Instant) -> Upload {
         let revoked = Arc::<Notify>::default();
@@ -128,6 +135,7 @@
         let wanted = state.bytes.saturating_add(bytes).saturating_add(free);
         if wanted > self.bytes_max && !state.revoke(wanted - self.bytes_max, key, now) {
             state.refused += 1;
+            self.wanted.notify_one();
             return Err(Exhausted);
         }
         state.bytes += bytes;
--- a/crates/policy/tests/clients.rs
+++ b/crates/policy/tests/clients.rs
@@ -103,6 +103,30 @@
     assert!(!used.iter().any(is_closing));
 }
 
+/// Guards against clients that read slowly and keep the memory of their answers, and against the end of
+/// a connection whose answer has just begun to be sent.
+#[test]
+fn slowest_answer_makes_room() {
+    let clients = Arc::new(Clients::new(CONNECTIONS_MAX));
+    let now = Instant::now();
+    let all: Vec<Client> = (0..3).filter_map(|_| clients.open(now)).collect();
+    all[0].record_answer(now);
+    all[0].record_sent(now);
+    all[1].record_answer(now);
+    all[2].record_answer(now + 2 * LATER);
+    // A client that reads a little now and then is as slow.
+    for second in 1..4 {
+        all[1].record_blocked(true, now + second * LATER);
+        all[1].record_blocked(false, now + second * LATER);
+    }
+    clients.close_slowest(now + 2 * LATER);
+    assert!(!all.iter().any(is_closing));
+    clients.close_slowest(now + 4 * LATER);
+    clients.close_slowest(now + 4 * LATER);
+    assert_eq!([0, 1, 2].map(|index| is_closing(&all[index])), [false, true, false]);
+    assert_eq!(clients.take_counts().slow, 1);
+}
+
 /// Guards against a client that does not read and keeps its connection for good.
 #[test]
 fn connections_that_are_not_read_are_closed() {
