Let a new connection end the oldest one at the bound

One that holds still was kept for 500 ms, and all of the crowd's were younger.

At the bound a new connection ends the oldest one that holds still, however young. A request that follows within milliseconds arrives before its connection is the oldest. The bound may be exceeded by a sixteenth until those have ended, which the listener awaits before it accepts the next one.

All tests of adapter/crowd pass, as do lifecycle, stop, shutdown and forward of the gateway.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -154,7 +154,13 @@
                 }
             }
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => start(stream),
+                Ok((stream, _)) => {
+                start(stream);
+                if clients.is_full() {
+                    // Connections that must end do so before the next one is accepted.
+                    yield_now().await;
+                }
+            }
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             },
             () = wait_for_closing(&mut phase) => break,
@@ -228,7 +234,11 @@
             () = client.closing() => {}
         }
     }
-    let _ = timeout(CLOSE_TIME, connection).await;
+    tokio::select! {
+        biased;
+        () = client.ended() => {}
+        _ = timeout(CLOSE_TIME, connection) => {}
+    }
 }
 
 fn now() -> std::time::Instant {
--- a/crates/policy/src/clients.rs
+++ b/crates/policy/src/clients.rs
@@ -3,7 +3,8 @@
 //! A connection on which a request runs, or whose client reads an answer, is never closed for others.
 //! The others are closed if a new one needs the room: first those that have had no answer yet, and
 //! of these the one that has waited longest. So connections that hold still, whatever part of a
-//! request they have sent, keep no one out, and clients that use theirs keep them longest.
+//! request they have sent, keep no one out, and clients that use theirs keep them longest. At the bound a
+//! new connection ends the oldest of them at once.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -23,6 +24,20 @@
 /// Time that a client has for reading an answer although others need its memory.
 const SENDING_TIME: Duration = Duration::from_secs(3);
 
+/// Part of the bound by which it is exceeded until connections that must end have ended, as a divisor.
+const EXCESS_DIVISOR: usize = 16;
+
+/// Whether a connection is to be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Closing {
+    /// It stays open.
+    No,
+    /// It is closed after it was told why.
+    Soon,
+    /// It ends at once.
+    Now,
+}
+
 /// Number of a connection.
 type Id = u64;
 
@@ -54,6 +69,8 @@
     entries: BTreeMap<Id, Entry>,
     /// Number of connections that are to be closed.
     closing: usize,
+    /// Number of these that must end at once.
+    ending: usize,
     counts: Counts,
 }
 
@@ -66,7 +83,7 @@
     /// Whether an answer was sent.
     answered: bool,
     /// Set when the connection is to be closed.
-    closing: watch::Sender<bool>,
+    closing: watch::Sender<Closing>,
 }
 
 /// Connections that were closed or refused, since they were last taken.
@@ -88,11 +105,19 @@
         self.since = now;
     }
 
+    fn closing(&self) -> Closing {
+        *self.closing.borrow()
+    }
+
+    /// Returns whether no request runs and no answer is being read.
+    fn holds_still(&self) -> bool {
+        !matches!(self.activity, Activity::Running | Activity::Sending)
+    }
+
     /// Returns whether the connection may be closed for others.
     fn may_close(&self, now: Instant) -> bool {
-        let holds_still = !matches!(self.activity, Activity::Running | Activity::Sending);
-        holds_still
-            && !*self.closing.borrow()
+        self.holds_still()
+            && self.closing() == Closing::No
             && now.saturating_duration_since(self.since) >= PROTECTED_TIME
     }
 }
@@ -108,6 +133,11 @@
         self.lock().entries.len()
     }
 
+    /// Returns whether as many connections are open as may be.
+    pub fn is_full(&self) -> bool {
+        self.count() >= self.connections_max
+    }
+
     /// Returns the connections that were closed or refused since the last call.
     pub fn take_counts(&self) -> Counts {
         std::mem::take(&mut self.lock().counts)
@@ -122,11 +152,14 @@
         if open - state.closing >= self.connections_max - spare {
             state.close_one(now);
         }
-        if open >= self.connections_max {
+        let excess = self.connections_max / EXCESS_DIVISOR;
+        let has_room = open < self.connections_max.saturating_add(excess)
+            && (open - state.ending < self.connections_max || state.end_one());
+        if !has_room {
             state.counts.refused += 1;
             return None;
         }
-        let (closing, is_closing) = watch::channel(false);
+        let (closing, receiver) = watch::channel(Closing::No);
         let id = state.next;
         state.next += 1;
         let entry = Entry {
@@ -138,7 +171,7 @@
         };
         state.entries.insert(id, entry);
         drop(state);
-        Some(Client { clients: self.clone(), id, is_closing })
+        Some(Client { clients: self.clone(), id, closing: receiver })
     }
 
     /// Closes the connections whose clients have not read for `time`.
@@ -148,7 +181,8 @@
         for entry in entries.values() {
             let since = now.saturating_duration_since(entry.since);
             let is_blocked = entry.activity == Activity::Blocked && since >= time;
-            if is_blocked && !entry.closing.send_replace(true) {
+            if is_blocked && entry.closing() == Closing::No {
+                entry.closing.send_replace(Closing::Soon);
                 *closing += 1;
                 counts.blocked += 1;
             }
@@ -160,11 +194,11 @@
     pub fn close_slowest(&self, now: Instant) {
         let mut state = self.lock();
         let State { entries, closing, counts, .. } = &mut *state;
-        let sending = entries.values().filter(|entry| !*entry.closing.borrow());
+        let sending = entries.values().filter(|entry| entry.closing() == Closing::No);
         let sending = sending.filter_map(|entry| Some((entry.sending_since?, entry)));
         let Some((since, slowest)) = sending.min_by_key(|(since, _)| *since) else { return };
         if now.saturating_duration_since(since) >= SENDING_TIME {
-            slowest.closing.send_replace(true);
+            slowest.closing.send_replace(Closing::Soon);
             *closing += 1;
             counts.slow += 1;
         }
@@ -179,11 +213,28 @@
     fn close_one(&mut self, now: Instant) {
         let candidates = self.entries.values().filter(|entry| entry.may_close(now));
         if let Some(entry) = candidates.min_by_key(|entry| (entry.answered, entry.since)) {
-            entry.closing.send_replace(true);
+            entry.closing.send_replace(Closing::Soon);
             self.closing += 1;
             self.counts.closed += 1;
         }
     }
+
+    /// Ends a connection that holds still, however short; returns whether there was one. Those that are
+    /// being closed come first. While many connect at once, one that sends its request soon is not the
+    /// oldest before that has arrived.
+    fn end_one(&mut self) -> bool {
+        let candidates = self.entries.values();
+        let candidates =
+            candidates.filter(|entry| entry.holds_still() && entry.closing() != Closing::Now);
+        let key = |entry: &&Entry| (entry.closing() == Closing::No, entry.answered, entry.since);
+        let Some(entry) = candidates.min_by_key(key) else { return false };
+        if entry.closing.send_replace(Closing::Now) == Closing::No {
+            self.closing += 1;
+            self.counts.closed += 1;
+        }
+        self.ending += 1;
+        true
+    }
 }
 
 /// Open connection of a client, until it is dropped.
@@ -191,7 +242,7 @@
 pub struct Client {
     clients: Arc<Clients>,
     id: Id,
-    is_closing: watch::Receiver<bool>,
+    closing: watch::Receiver<Closing>,
 }
 
 impl Client {
@@ -235,9 +286,18 @@
 
     /// Waits until the connection is to be closed.
     pub async fn closing(&self) {
-        let mut is_closing = self.is_closing.clone();
+        self.wait_for(Closing::Soon).await;
+    }
+
+    /// Waits until the connection must end at once.
+    pub async fn ended(&self) {
+        self.wait_for(Closing::Now).await;
+    }
+
+    async fn wait_for(&self, wanted: Closing) {
+        let mut closing = self.closing.clone();
         // The sender lives as long as this.
-        let _ = is_closing.wait_for(|is_closing| *is_closing).await;
+        let _ = closing.wait_for(|closing| *closing >= wanted).await;
     }
 
     fn set(&self, activity: Activity, now: Instant) {
@@ -254,8 +314,12 @@
 impl Drop for Client {
     fn drop(&mut self) {
         let mut state = self.clients.lock();
-        if state.entries.remove(&self.id).is_some_and(|entry| *entry.closing.borrow()) {
+        let closing = state.entries.remove(&self.id).map(|entry| entry.closing());
+        if closing.is_some_and(|closing| closing != Closing::No) {
             state.closing -= 1;
         }
+        if closing == Some(Closing::Now) {
+            state.ending -= 1;
+        }
     }
 }
