Answer requests that cross the close of their connection

A caller lost a request that a leaf ran: it arrived at the moment at which its connection was chosen to be closed for another one, was passed on, and the connection ended 500 ms later or at once, without an answer. Found by reading the bound on connections.

A connection that is closed for others stays until a request that has begun is answered; an answer that has been sent for over 3 s is still cut.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -234,11 +234,16 @@
             () = client.closing() => {}
         }
     }
-    tokio::select! {
+    let is_over = tokio::select! {
         biased;
-        () = client.ended() => {}
-        _ = timeout(CLOSE_TIME, connection) => {}
+        result = timeout(CLOSE_TIME, connection.as_mut()) => result.is_ok(),
+        () = client.ended() => false,
+    };
+    if is_over {
+        return;
     }
+    // A request may have arrived after its connection was chosen to be closed.
+    while client.is_in_use(now()) && timeout(CLOSE_TIME, connection.as_mut()).await.is_err() {}
 }
 
 fn now() -> std::time::Instant {
--- a/crates/policy/src/clients.rs
+++ b/crates/policy/src/clients.rs
@@ -284,6 +284,19 @@
         });
     }
 
+    /// Returns whether a request runs, or its answer is being read and has been for less than
+    /// [`SENDING_TIME`].
+    pub fn is_in_use(&self, now: Instant) -> bool {
+        let state = self.clients.lock();
+        let Some(entry) = state.entries.get(&self.id) else { return false };
+        let sending = entry.sending_since.map(|since| now.saturating_duration_since(since));
+        match entry.activity {
+            Activity::Running => true,
+            Activity::Sending => sending.is_some_and(|time| time < SENDING_TIME),
+            _ => false,
+        }
+    }
+
     /// Waits until the connection is to be closed.
     pub async fn closing(&self) {
         self.wait_for(Closing::Soon).await;
