Serve a single request whatever it takes, and name a refusal by its cause

A request to very many shards could cost more than the memory for requests, so that it would be refused in calm (by reading: from about 3,400 shards on with 160 MB). Its cost counts as half of that memory at most. The refusal of an unfinished request whose connection is closed is now too-many-connections.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -36,7 +36,7 @@
     /// The instance has no memory for the request.
     NoMemory,
     /// The connection of an unfinished request is closed for others.
-    Crowded,
+    TooManyConnections,
     /// No leaf ran the request.
     NotRun,
     /// The request crashes the leafs that run it, or is being tested for that.
@@ -55,7 +55,7 @@
             Self::NotStarted
             | Self::Overloaded
             | Self::NoMemory
-            | Self::Crowded
+            | Self::TooManyConnections
             | Self::NotRun
             | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/gateway/src/query.rs
+++ b/crates/gateway/src/query.rs
@@ -158,7 +158,7 @@
             return refuse(gateway, "", Refusal::NoMemory, Some(RETRY_AFTER_BASE));
         }
         Err(request::Error::Closed) => {
-            return refuse(gateway, "", Refusal::Crowded, Some(RETRY_AFTER_BASE));
+            return refuse(gateway, "", Refusal::TooManyConnections, Some(RETRY_AFTER_BASE));
         }
         Err(request::Error::BrokenOff) => return refuse(gateway, "", Refusal::BrokenOff, None),
         Err(request::Error::TooSlow) => return refuse(gateway, "", Refusal::TooSlow, None),
@@ -293,7 +293,9 @@
     fn running_bytes(&self) -> usize {
         let headers = self.outgoing.headers.iter();
         let head = headers.map(|(name, value)| name.as_str().len() + value.len()).sum();
-        capacity::running_bytes(self.route.target.parts(), head)
+        // A single request is served whatever it takes.
+        let bytes_max = self.gateway.capacity().request_bytes() / 2;
+        capacity::running_bytes(self.route.target.parts(), head).min(bytes_max)
     }
 
     /// Serves the request, or ends it in time for its response to leave before the instance stops.
@@ -677,7 +679,10 @@
     ) -> Handled {
         let time_left = self.deadline.requested().saturating_duration_since(Instant::now());
         let retry_after = match refusal {
-            Refusal::NotRun | Refusal::Overloaded | Refusal::NoMemory | Refusal::Crowded => {
+            Refusal::NotRun
+            | Refusal::Overloaded
+            | Refusal::NoMemory
+            | Refusal::TooManyConnections => {
                 Some(jitter(RETRY_AFTER_BASE).min(time_left.mul_f64(RETRY_AFTER_DEADLINE_FRACTION)))
             }
             _ => None,
