--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -155,12 +155,12 @@
             }
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
-                start(stream);
-                if clients.is_full() {
-                    // Connections that must end do so before the next one is accepted.
-                    yield_now().await;
+                    start(stream);
+                    if clients.is_full() {
+                        // Connections that must end do so before the next one is accepted.
+                        yield_now().await;
+                    }
                 }
-            }
                 Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
             },
             () = wait_for_closing(&mut phase) => break,
--- a/crates/policy/src/clients.rs
+++ b/crates/policy/src/clients.rs
@@ -20,10 +20,8 @@
 const SPARE_DIVISOR: usize = 8;
 /// Time for which a connection that holds still is not closed for others.
 const PROTECTED_TIME: Duration = Duration::from_millis(500);
-
 /// Time that a client has for reading an answer although others need its memory.
 const SENDING_TIME: Duration = Duration::from_secs(3);
-
 /// Part of the bound by which it is exceeded until connections that must end have ended, as a divisor.
 const EXCESS_DIVISOR: usize = 16;
 
