--- a/crates/policy/src/clients.rs
+++ b/crates/policy/src/clients.rs
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Closes the connection on which an answer has been sent for longest, if that is longer than
-    /// [`SENDING_TIME`].
+    /// Closes the connection on which an answer has been sent for longest, if that is longer than a
+    /// client has for reading it.
     pub fn close_slowest(&self, now: Instant) {
         let mut state = self.lock();
         let State { entries, closing, counts, .. } = &mut *state;
@@ -282,8 +282,8 @@
         });
     }
 
-    /// Returns whether a request runs, or its answer is being read and has been for less than
-    /// [`SENDING_TIME`].
+    /// Returns whether a request runs, or its answer is being read, within the time that a client has
+    /// for that.
     pub fn is_in_use(&self, now: Instant) -> bool {
         let state = self.clients.lock();
         let Some(entry) = state.entries.get(&self.id) else { return false };
